--- a/mulleinbridge/__init__.py
+++ b/pulleyroute/__init__.py
@@ -1,6 +1,6 @@
 """Decisions of a dispatcher that pushes jobs to workers: paced resubmission over weighted random draws."""
 
-from mulleinbridge.rules import Dispatcher
+from pulleyroute.rules import Dispatcher
 
 __all__ = ["Dispatcher", "__version__"]
 
--- a/mulleinbridge/adapter.py
+++ b/pulleyroute/adapter.py
@@ -6,9 +6,9 @@
 import traceback
 from typing import BinaryIO
 
-from mulleinbridge.interface import Event
-from mulleinbridge.rules import Dispatcher
-from mulleinbridge.wire import (
+from pulleyroute.interface import Event
+from pulleyroute.rules import Dispatcher
+from pulleyroute.wire import (
     BATCH_HEADER,
     REPLY_HEADER,
     Begin,
@@ -85,7 +85,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except WireError as exc:
-        print(f"mulleinbridge: {exc}", file=sys.stderr)
+        print(f"pulleyroute: {exc}", file=sys.stderr)
         return 1
     except (BrokenPipeError, KeyboardInterrupt):
         return 1
--- a/mulleinbridge/rules.py
+++ b/pulleyroute/rules.py
@@ -1,4 +1,4 @@
-"""All decisions of a dispatcher; its types, events and actions are in `mulleinbridge/interface.py`.
+"""All decisions of a dispatcher; its types, events and actions are in `pulleyroute/interface.py`.
 
 The ordinary path: a job is pushed at once to a ready worker that runs its class, drawn at random by reported
 free slots net of own pushes since, with a small floor. A push not accepted is resubmitted elsewhere after a
@@ -11,8 +11,8 @@
 from random import Random
 from zlib import crc32
 
-from mulleinbridge import interface as api
-from mulleinbridge.interface import Effect, Outcome, Scope
+from pulleyroute import interface as api
+from pulleyroute.interface import Effect, Outcome, Scope
 
 # The floor of the draw, in free slots: small beside one, so that full workers draw little while any is free.
 FLOOR = 0.02
--- a/mulleinbridge/wire.py
+++ b/pulleyroute/wire.py
@@ -10,7 +10,7 @@
 from struct import error as struct_error
 from typing import Any
 
-from mulleinbridge.interface import (
+from pulleyroute.interface import (
     Action,
     AttemptEnded,
     AttemptProgress,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 from typing import Any
 
-from mulleinbridge.interface import (
+from pulleyroute.interface import (
     Action,
     Effect,
     Entry,
@@ -21,7 +21,7 @@
     WorkerList,
     WorkerState,
 )
-from mulleinbridge.rules import Dispatcher
+from pulleyroute.rules import Dispatcher
 
 SECOND = 1_000_000
 SAFE, KEYED, UNSAFE = 0, 1, 2
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -3,7 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from mulleinbridge.interface import (
+from pulleyroute.interface import (
     AttemptEnded,
     AttemptStarted,
     Cancel,
@@ -18,7 +18,7 @@
     WorkerList,
     WorkerState,
 )
-from mulleinbridge.rules import PROVEN_NOT_RUN
+from pulleyroute.rules import PROVEN_NOT_RUN
 from tests.helpers import CLASSES, SECOND, Bench, ready
 
 NAMES = [b"a", b"b", b"c", b"d"]
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-RULES = ROOT / "mulleinbridge" / "rules.py"
+RULES = ROOT / "pulleyroute" / "rules.py"
 
 
 def test_rules_stay_within_650_lines_that_are_not_blank():
@@ -12,20 +12,20 @@
 
 
 def test_no_line_of_the_package_runs_past_110_characters():
-    for path in (ROOT / "mulleinbridge").glob("*.py"):
+    for path in (ROOT / "pulleyroute").glob("*.py"):
         for number, line in enumerate(path.read_text().splitlines(), 1):
             assert len(line) <= 110, f"{path.name}:{number}"
 
 
 def test_rules_name_the_interface_file_first():
-    assert "mulleinbridge/interface.py" in RULES.read_text().splitlines()[0]
+    assert "pulleyroute/interface.py" in RULES.read_text().splitlines()[0]
 
 
 def test_rules_do_no_input_output_and_read_no_clock():
     text = RULES.read_text()
     found = re.findall(r"^\s*(?:import|from)\s+([\w.]+)", text, re.MULTILINE)
-    assert set(found) <= {"__future__", "collections", "itertools", "random", "zlib", "mulleinbridge",
-                         "mulleinbridge.interface"}
+    assert set(found) <= {"__future__", "collections", "itertools", "random", "zlib", "pulleyroute",
+                         "pulleyroute.interface"}
     assert "open(" not in text and "print(" not in text and "global " not in text
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from mulleinbridge.interface import (
+from pulleyroute.interface import (
     AttemptEnded,
     AttemptStarted,
     Cancel,
@@ -27,7 +27,7 @@
     WorkerList,
     WorkerState,
 )
-from mulleinbridge.rules import Job
+from pulleyroute.rules import Job
 from tests.helpers import CLASSES, KEYED, SAFE, SECOND, UNSAFE, Bench, of, pushed, ready
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from mulleinbridge import adapter
-from mulleinbridge.adapter import Host, serve
-from mulleinbridge.interface import (
+from pulleyroute import adapter
+from pulleyroute.adapter import Host, serve
+from pulleyroute.interface import (
     AttemptEnded,
     AttemptProgress,
     AttemptStarted,
@@ -40,7 +40,7 @@
     WorkerList,
     WorkerState,
 )
-from mulleinbridge.wire import BATCH_HEADER, Begin, Decoder, WireError, decode_settings, encode
+from pulleyroute.wire import BATCH_HEADER, Begin, Decoder, WireError, decode_settings, encode
 
 WORKER = bytes.fromhex("0a124a072b23")
 SUBMIT = (  # all but its flags
@@ -235,10 +235,10 @@
 ])
 def test_a_malformed_frame_ends_with_one_plain_line(stream):
     root = Path(__file__).parent.parent
-    done = subprocess.run([sys.executable, "-m", "mulleinbridge.adapter"], input=stream, cwd=root,
+    done = subprocess.run([sys.executable, "-m", "pulleyroute.adapter"], input=stream, cwd=root,
                           capture_output=True, timeout=60, check=False)
     assert done.returncode == 1
-    assert done.stderr.count(b"\n") == 1 and done.stderr.startswith(b"mulleinbridge: ")
+    assert done.stderr.count(b"\n") == 1 and done.stderr.startswith(b"pulleyroute: ")
 
 
 def test_begin_carries_the_seed():
