--- /dev/null
+++ b/pulleyroute/__main__.py
@@ -0,0 +1,92 @@
+"""The real dispatcher: reads its configuration, sets up the parts, serves until SIGTERM."""
+
+from __future__ import annotations
+
+import gc
+import os
+import signal
+import socket
+import sys
+import time
+
+from loguru import logger
+
+from pulleyroute import __version__
+from pulleyroute.net import log
+from pulleyroute.net.buffers import BufferPool
+from pulleyroute.net.config import Config, ConfigError, load_config
+from pulleyroute.net.host import Host
+from pulleyroute.net.instance import Instances
+from pulleyroute.net.loop import READABLE, Coroutine, Loop, Wait
+from pulleyroute.net.name_table import NameTable
+from pulleyroute.net.service_client import ServiceClient
+
+# How the descriptors are shared out. What is left is for discovery, the listener and the process itself.
+RESERVE = 24
+CLIENT_SHARE = 0.7  # accepted connections: clients and the instances' calls
+JOB_SHARE = 0.45  # of all: clients that wait for an answer
+INSTANCE_SHARE = 0.3
+
+
+def on_error(name: str, exc: Exception) -> None:
+    """An exception ends its own connection alone."""
+    logger.opt(exception=exc).error("{} ended by an exception", name)
+
+
+def build(config: Config, loop: Loop) -> ServiceClient:
+    """The parts of a dispatcher, wired and listening."""
+    pool = BufferPool()
+    epoch = time.time_ns() // 1000 - loop.now()
+    names = NameTable(loop, pool, config.discovery, config.settings, epoch)
+    budget = config.sockets - RESERVE
+    instances = Instances(loop, pool, names, config.settings, int(budget * INSTANCE_SHARE))
+    host = Host(loop, config.settings, config.seed, names, instances)
+    if config.known is not None:
+        try:
+            names.load_known(config.known)
+        except ValueError as exc:
+            raise ConfigError(f"known: {exc}") from None
+    clients = ServiceClient(
+        loop, pool, host, config.settings, int(budget * CLIENT_SHARE), int(budget * JOB_SHARE))
+    try:
+        clients.listen(config.listen)
+    except OSError as exc:
+        raise ConfigError(f"cannot listen on {config.listen[0]}:{config.listen[1]}: {exc.strerror}") from None
+    return clients
+
+
+def waiting_for_signal(source: socket.socket, clients: ServiceClient) -> Coroutine[None]:
+    while True:
+        yield Wait(source.fileno(), READABLE)
+        try:
+            source.recv(64)
+        except BlockingIOError:
+            continue
+        logger.info("asked to stop")
+        clients.stop()
+
+
+def main() -> int:
+    log.set_up(os.environ.get("PULLEYROUTE_LOG", "INFO"))
+    loop = Loop(on_error)
+    try:
+        config = load_config(os.environ)
+        clients = build(config, loop)
+    except ConfigError as exc:
+        print(f"pulleyroute: {exc}", file=sys.stderr)
+        return 2
+    source, sink = socket.socketpair()
+    for end in (source, sink):
+        end.setblocking(False)
+    signal.set_wakeup_fd(sink.fileno(), warn_on_full_buffer=False)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: None)  # the loop hears of it through the descriptor
+    loop.spawn(waiting_for_signal(source, clients), "signals")
+    gc.freeze()
+    logger.info("pulleyroute {} as {} on {}:{}", __version__, config.name, *config.listen)
+    loop.run()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/pulleyroute/interface.py
+++ b/pulleyroute/interface.py
@@ -98,6 +98,9 @@
     me: int  # this one's number among them
     max_attempts: int
     zone: int = 0
+    zones: list[str] = field(default_factory=list)  # their names, by number
+    kinds: list[str] = field(default_factory=list)  # the names of the worker kinds, by number
+    report_names: dict[str, str] = field(default_factory=dict)  # a report's value: the LoadReport's attribute
     tenants: list[Tenant] = field(default_factory=list)
     over_share_worth: float = 1.0
     by_work: bool = False  # worth counts by work, not by job
--- /dev/null
+++ b/pulleyroute/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real dispatcher: the decision module's host on sockets."""
--- /dev/null
+++ b/pulleyroute/net/config.py
@@ -0,0 +1,83 @@
+"""What the dispatcher is told at its start: config.json and the PROXY_* variables."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from pulleyroute.interface import Settings
+from pulleyroute.net.http import parse_address
+from pulleyroute.settings import SettingsError, read_settings
+
+SOCKETS = 1024  # where the configuration names no limit
+FEWEST_SOCKETS = 64
+
+
+class ConfigError(Exception):
+    """The configuration can't be used; the text is one plain line."""
+
+
+@dataclass(slots=True)
+class Config:
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    sockets: int  # descriptors that may be open
+    known: Any  # the list of instances as last held, in discovery's form; None if there is none
+    settings: Settings
+
+
+def load_config(environ: Mapping[str, str]) -> Config:
+    """Read the file that PROXY_CONFIG names; the other variables go before what it says."""
+    path = environ.get("PROXY_CONFIG")
+    if not path:
+        raise ConfigError("PROXY_CONFIG is not set: it names the configuration file")
+    try:
+        data = json.loads(Path(path).read_bytes())
+    except OSError as exc:
+        raise ConfigError(f"{path}: {exc.strerror}") from None
+    except (ValueError, RecursionError) as exc:
+        raise ConfigError(f"{path}: not JSON: {exc}") from None
+    if not isinstance(data, dict):
+        raise ConfigError(f"{path}: not a JSON object")
+    try:
+        settings, _ = read_settings(data.get("settings"))
+        return Config(
+            name=_text(environ.get("PROXY_NAME") or data.get("name"), "name"),
+            listen=parse_address(_text(environ.get("PROXY_LISTEN") or data.get("listen"), "listen")),
+            discovery=parse_address(
+                _text(environ.get("PROXY_DISCOVERY") or data.get("discovery"), "discovery")),
+            seed=_seed(data.get("seed", 0)),
+            sockets=_sockets(data.get("limits")),
+            known=data.get("known"),
+            settings=settings,
+        )
+    except (SettingsError, ValueError) as exc:
+        raise ConfigError(f"{path}: {exc}") from None
+
+
+def _text(value: object, what: str) -> str:
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{what} is missing or not a text")
+    return value
+
+
+def _seed(value: object) -> int:
+    """Hexadecimal digits, or a number."""
+    if isinstance(value, int):
+        return value
+    try:
+        return int(_text(value, "seed"), 16)
+    except ValueError:
+        raise ValueError(f"seed is {value!r}, not hexadecimal digits") from None
+
+
+def _sockets(limits: object) -> int:
+    value = limits.get("sockets", SOCKETS) if isinstance(limits, dict) else SOCKETS
+    if isinstance(value, bool) or not isinstance(value, int) or value < FEWEST_SOCKETS:
+        raise ValueError(f"limits.sockets is {value!r}, not a number of at least {FEWEST_SOCKETS}")
+    return value
--- /dev/null
+++ b/pulleyroute/net/host.py
@@ -0,0 +1,345 @@
+"""The decision module's host: feeds it what happens, carries out what it decides. Takes no decisions itself.
+
+Knows no protocol on the client's side: a request comes with a callback that takes its one answer.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from loguru import logger
+
+from pulleyroute import interface as api
+from pulleyroute.interface import Effect, Outcome, Scope, Settings, WorkerId
+from pulleyroute.net.http import Headers
+from pulleyroute.net.instance import Execution, Instances
+from pulleyroute.net.loop import Loop, Timer
+from pulleyroute.net.name_table import NameTable
+from pulleyroute.rules import PROVEN_NOT_RUN, Dispatcher
+
+MARGIN = 60_000  # answers leave this long before the client gives up, as far as its time allows
+MARGIN_SHARE = 8  # and never earlier than this part of its time
+GUARD = 20_000  # after a job's own deadline the host answers whatever the module says
+
+
+class Ending(Enum):
+    """How a request is answered."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    ending: Ending
+    result: bytes = b""
+    retry_after: int = 0  # microseconds; 0 for no advice
+
+
+Reply = Callable[[Answer], None]
+
+
+@dataclass(slots=True)
+class Request:
+    """What a client wants done, whatever protocol it came by."""
+
+    txn: str
+    job_class: int
+    remaining: int  # microseconds that the client will still wait
+    method: bytes
+    target: bytes
+    headers: Headers  # to pass on
+    body: bytes
+    slots: float = 1.0
+    memory: float = 0.0
+    key: int = 0
+    is_repeat: bool = False
+
+
+class State(Enum):
+    """What an instance tells of an execution."""
+
+    STARTED = "started"
+    RUNNING = "running"
+    DONE = "done"
+    FAILED = "failed"
+    RETURNED = "returned"
+    LOST = "lost"
+
+
+_ENDS = {
+    State.DONE: Outcome.OK, State.FAILED: Outcome.ERROR, State.RETURNED: Outcome.FULL,
+    State.LOST: Outcome.RESET,
+}
+
+
+@dataclass(slots=True)
+class Call:
+    """One call-back of an instance."""
+
+    txn: str
+    instance: WorkerId
+    state: State
+    share: float = 0.0
+    result: bytes = b""
+    report: api.LoadReport | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """A request taken. Its number is from a counter and is not used again."""
+
+    number: int
+    request: Request
+    reply: Reply
+    deadline: int
+    executions: list[Execution] = field(default_factory=list)
+    answered: bool = False  # or nobody waits any more
+    guard: Timer | None = None
+
+
+class Host:
+    """Owns the dispatcher, the jobs, their executions and deadlines."""
+
+    def __init__(
+        self, loop: Loop, settings: Settings, seed: int, names: NameTable, instances: Instances
+    ) -> None:
+        self._loop = loop
+        self._settings = settings
+        self._names = names
+        self._instances = instances
+        self._dispatcher = Dispatcher(settings, seed, loop.now())
+        self._jobs: dict[int, Job] = {}
+        self._by_txn: dict[str, Job] = {}
+        self._count = 0
+        self._events: deque[api.Event] = deque()
+        self._draining = False
+        self._now = loop.now()
+        self.open = 0  # requests that still wait for their answer
+        self.faults = 0  # exceptions of the module
+        names.tell = self.post
+        instances.ended = self.settle
+        instances.probed = self._probed
+        self._doers: dict[type, Callable[..., None]] = {
+            api.Push: self._push,
+            api.Refuse: self._refuse,
+            api.Fail: self._fail,
+            api.Cancel: self._cancel,
+            api.Probe: lambda action: self._instances.probe(action.worker),
+            api.SetTimer: self._set_timer,
+            api.Subscribe: lambda action: self._names.watch(action.on),
+            api.FetchList: lambda action: self._names.fetch(),
+            api.CloseIdle: lambda action: self._instances.close_idle(action.worker),
+            api.Tell: lambda action: logger.debug("no protocol carries messages between dispatchers"),
+            api.Log: lambda action: logger.info("module: {}", action.text),
+        }
+
+    # The module
+
+    def post(self, event: api.Event) -> None:
+        """Feed an event and carry out what follows; events that come meanwhile wait their turn."""
+        self._events.append(event)
+        if self._draining:
+            return
+        self._draining = True
+        try:
+            while self._events:
+                self._handle(self._events.popleft())
+        finally:
+            self._draining = False
+
+    def _handle(self, event: api.Event) -> None:
+        self._now = self._loop.now()
+        try:
+            actions = self._dispatcher.handle(self._now, event)
+        except Exception:
+            # Guards against a fault passing unnoticed, and against losing what was decided before it: the
+            # module has already counted those actions as carried out.
+            self.faults += 1
+            logger.exception("the decision module failed on {}", type(event).__name__)
+            actions = self._dispatcher.todo
+        for action in actions:
+            try:
+                self._doers[type(action)](action)
+            except Exception:
+                logger.exception("could not carry out {}", type(action).__name__)
+
+    # Requests
+
+    def knows(self, txn: str) -> bool:
+        """Whether a request of this id is being worked on."""
+        return txn in self._by_txn
+
+    def submit(self, request: Request, reply: Reply) -> Job:
+        """Take a request; `reply` is called exactly once, unless `abandon` comes first."""
+        self._count += 1
+        left = max(0, request.remaining - min(MARGIN, request.remaining // MARGIN_SHARE))
+        deadline = self._loop.now() + left
+        job = Job(self._count, request, reply, deadline)
+        self._jobs[job.number] = job
+        self._by_txn[request.txn] = job
+        self.open += 1
+        job.guard = self._loop.call_at(deadline + GUARD, lambda: self._overdue(job))
+        self.post(api.JobArrived(
+            job.number, request.job_class, left, request.slots, request.memory, key=request.key,
+            is_repeat=request.is_repeat,
+        ))
+        return job
+
+    def abandon(self, job: Job) -> None:
+        """The client is gone."""
+        if not job.answered:
+            self._conclude(job)
+            self.post(api.JobExpired(job.number))
+            self._forget(job)
+
+    def _conclude(self, job: Job) -> None:
+        job.answered = True
+        self.open -= 1
+        if job.guard is not None:
+            job.guard.cancel()
+            job.guard = None
+
+    def _answer(self, job: Job, answer: Answer) -> None:
+        """The one final answer."""
+        self._conclude(job)
+        job.reply(answer)
+        self._forget(job)
+
+    def _forget(self, job: Job) -> None:
+        if job.answered and all(execution.over for execution in job.executions):
+            self._jobs.pop(job.number, None)
+            if self._by_txn.get(job.request.txn) is job:
+                del self._by_txn[job.request.txn]
+
+    def _overdue(self, job: Job) -> None:
+        # Guards the one final answer against a module that stays silent: it leaves in time all the same.
+        job.guard = None
+        if job.answered:
+            return
+        logger.error("request {} had no answer from the module at its deadline", job.request.txn)
+        self._answer(job, Answer(Ending.FAILED))
+        self.post(api.JobExpired(job.number))
+
+    def _refuse(self, action: api.Refuse) -> None:
+        job = self._jobs.get(action.job)
+        if job is None or job.answered:
+            return
+        if self._harmful(job):
+            # Guards against the promise that a repeat is harmless where something may have run.
+            logger.error("request {} may have run and is not refused", job.request.txn)
+            self._answer(job, Answer(Ending.FAILED))
+            return
+        advice = min(action.retry_after, self._settings.max_retry_after)
+        self._answer(job, Answer(Ending.REFUSED, retry_after=advice))
+
+    def _harmful(self, job: Job) -> bool:
+        cls = self._settings.classes[job.request.job_class]
+        if cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.scope is Scope.ALL):
+            return False
+        return any(e.outcome not in PROVEN_NOT_RUN for e in job.executions)
+
+    def _fail(self, action: api.Fail) -> None:
+        job = self._jobs.get(action.job)
+        if job is not None and not job.answered:
+            self._answer(job, Answer(Ending.FAILED))
+
+    # Executions
+
+    def _push(self, action: api.Push) -> None:
+        job = self._jobs.get(action.job)
+        if job is None:
+            logger.error("the module pushed a job that nobody holds")
+            return
+        request = job.request
+        execution = Execution(
+            txn=request.txn, index=len(job.executions), instance=action.worker, method=request.method,
+            target=request.target, headers=request.headers, body=request.body, sent=self._now,
+            timeout_at=min(action.timeout_at or job.deadline, job.deadline),
+        )
+        earlier = [e for e in job.executions if e.instance == action.worker]
+        job.executions.append(execution)
+        if (
+            job.answered
+            or execution.timeout_at <= self._now
+            or execution.index >= self._settings.max_attempts
+            # Guards against two executions of a request at one instance: calls name no execution, so a late
+            # word on the earlier one would be taken for the later one's.
+            or not all(e.over and e.mute for e in earlier)
+        ):
+            execution.mute = True
+            self.settle(execution, Outcome.MOOT, None)
+            return
+        execution.timer = self._loop.call_at(execution.timeout_at, lambda: self._time_out(execution))
+        self._instances.execute(execution)
+
+    def settle(self, execution: Execution, outcome: Outcome, report: api.LoadReport | None,
+               result: bytes = b"") -> None:
+        """An execution has ended; only the first word on it counts."""
+        if execution.over:
+            return
+        execution.over = True
+        execution.outcome = outcome
+        if execution.timer is not None:
+            execution.timer.cancel()
+        job = self._by_txn[execution.txn]
+        if outcome is Outcome.OK and not job.answered:
+            self._answer(job, Answer(Ending.SERVED, result))
+        took = max(0, self._loop.now() - execution.sent)
+        self.post(api.AttemptEnded(
+            job.number, execution.index, execution.instance, outcome, job.answered, took, report))
+        self._forget(job)
+
+    def _time_out(self, execution: Execution) -> None:
+        execution.timer = None
+        if not execution.over:
+            self._stop(execution, Outcome.TIMEOUT)
+
+    def _cancel(self, action: api.Cancel) -> None:
+        job = self._jobs.get(action.job)
+        if job is not None and action.attempt < len(job.executions):
+            execution = job.executions[action.attempt]
+            if not execution.over:
+                self._stop(execution, Outcome.CANCELLED)
+
+    def _stop(self, execution: Execution, outcome: Outcome) -> None:
+        """Give up at the instance first, then tell the outcome."""
+        self._instances.give_up(execution)
+        if not execution.written:
+            execution.mute = True
+            outcome = Outcome.MOOT  # its last byte never left: it never ran
+        self.settle(execution, outcome, None)
+
+    def call(self, call: Call) -> None:
+        """An instance's word on an execution; stale, repeated and unknown ones change nothing."""
+        job = self._by_txn.get(call.txn)
+        if job is None:
+            return
+        for execution in job.executions:
+            # Guards against calls that repeat or come late: an ended execution stays ended, and none is
+            # spoken of before its last byte was written.
+            if execution.instance == call.instance and execution.written and not execution.over:
+                break
+        else:
+            return
+        if call.state is State.STARTED:
+            if not execution.started:
+                execution.started = True
+                self.post(api.AttemptStarted(job.number, execution.index, execution.instance))
+        elif call.state is State.RUNNING:
+            self.post(api.AttemptProgress(job.number, execution.index, execution.instance, call.share))
+        else:
+            self.settle(execution, _ENDS[call.state], call.report, call.result)
+
+    # Probes and time
+
+    def _probed(self, instance: WorkerId, outcome: Outcome, took: int, report: api.LoadReport | None) -> None:
+        self.post(api.ProbeEnded(instance, outcome, took, report))
+
+    def _set_timer(self, action: api.SetTimer) -> None:
+        token = action.token
+        self._loop.call_at(self._now + action.after, lambda: self.post(api.TimerFired(token)))
--- /dev/null
+++ b/pulleyroute/net/http.py
@@ -0,0 +1,281 @@
+"""HTTP/1.1 on a non-blocking socket: h11 parses and frames, coroutines wait. Both sides, with limits."""
+
+from __future__ import annotations
+
+import socket
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+
+import h11
+
+from pulleyroute.net.buffers import BufferPool
+from pulleyroute.net.loop import READABLE, WRITABLE, Coroutine, Loop, Wait, Woken
+
+HEAD_LIMIT = 16 * 1024
+BODY_LIMIT = 64 * 1024
+LINGER = 1_000_000  # how long a connection that ends on an error is read empty
+LINGER_BYTES = 4 * BODY_LIMIT
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class Broken(Exception):
+    """The connection ended or broke."""
+
+
+class Late(Exception):
+    """The time for it is over."""
+
+
+class Malformed(Exception):
+    """What the peer sent is not as it should be; `status` is what a server answers."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+@dataclass(slots=True)
+class Message:
+    """A whole request or answer; header names are in lower case."""
+
+    headers: Headers
+    body: bytes
+    method: bytes = b""
+    target: bytes = b""
+    status: int = 0
+
+    def one(self, name: bytes) -> bytes | None:
+        """The value of a header that may come once at most."""
+        values = [value for key, value in self.headers if key == name]
+        if len(values) > 1:
+            raise Malformed(400, f"more than one {name.decode()} header")
+        return values[0] if values else None
+
+
+class Stream:
+    """One connection, in either role. Owns its socket and its parser."""
+
+    def __init__(self, loop: Loop, pool: BufferPool, sock: socket.socket, server: bool) -> None:
+        self._loop = loop
+        self._pool = pool
+        self._sock = sock
+        self._h11 = h11.Connection(h11.SERVER if server else h11.CLIENT, max_incomplete_event_size=HEAD_LIMIT)
+        self.closed = False
+        self.fresh = True  # not a byte of the next message has come
+        self._head_only = False  # the request was HEAD: its answer has no body
+
+    def fileno(self) -> int:
+        return self._sock.fileno()
+
+    def close(self) -> None:
+        if not self.closed:
+            self.closed = True
+            self._loop.forget(self._sock.fileno())
+            self._sock.close()
+
+    def pull(self) -> int | None:
+        """Read what is there: the count of bytes, 0 at the end, None if nothing is there yet."""
+        with self._pool.borrow() as buffer:
+            try:
+                count = self._sock.recv_into(buffer)
+            except (BlockingIOError, InterruptedError):
+                return None
+            except OSError as exc:
+                raise Broken(str(exc)) from None
+            if count:
+                self.fresh = False
+            try:
+                self._h11.receive_data(bytes(memoryview(buffer)[:count]))
+            except RuntimeError:  # the end was read twice
+                raise Broken("read after the end") from None
+            return count
+
+    def trailing(self) -> int:
+        """How many bytes have come that no message has claimed yet."""
+        return len(self._h11.trailing_data[0])
+
+    def reusable(self) -> bool:
+        """Whether a kept connection is still there, silent and between messages."""
+        if self.closed or self._h11.states != {h11.CLIENT: h11.IDLE, h11.SERVER: h11.IDLE}:
+            return False
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            return False
+        return False  # its end, or bytes that nobody asked for
+
+    def send(self, data: bytes, until: int | None) -> Coroutine[None]:
+        """Hand every byte to the kernel; when this returns, the last byte is written."""
+        rest = memoryview(data)
+        while True:
+            try:
+                rest = rest[self._sock.send(rest):]
+            except (BlockingIOError, InterruptedError):
+                pass
+            except OSError as exc:
+                raise Broken(str(exc)) from None
+            if not rest:
+                return
+            if (yield Wait(self.fileno(), WRITABLE, until)) is Woken.LATE:
+                raise Late
+
+    def frame(self, head: h11.Request | h11.Response, body: bytes) -> bytes:
+        """The bytes of a whole message."""
+        parts = [self._h11.send(head)]
+        if body:
+            parts.append(self._h11.send(h11.Data(data=body)))
+        parts.append(self._h11.send(h11.EndOfMessage()))
+        return b"".join(part for part in parts if part)
+
+    def event(self, until: int | None) -> Coroutine[Any]:
+        """The parser's next event."""
+        while True:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as exc:
+                raise Malformed(exc.error_status_hint, str(exc)) from None
+            if event is not h11.NEED_DATA:
+                return event
+            if self._h11.they_are_waiting_for_100_continue:
+                head = self._h11.send(h11.InformationalResponse(status_code=100, headers=[]))
+                yield from self.send(head or b"", until)
+            if self.pull() is None and (yield Wait(self.fileno(), READABLE, until)) is Woken.LATE:
+                raise Late
+
+    def body(self, until: int | None, limit: int = BODY_LIMIT) -> Coroutine[bytes]:
+        """The rest of a message whose head has come."""
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = yield from self.event(until)
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > limit:
+                    raise Malformed(413, "the body is too large")
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            else:
+                raise Broken("the message was cut off")
+
+    # The server's side
+
+    def request(self, until: int | None) -> Coroutine[Message | None]:
+        """The next request; None if the client ended the connection between requests."""
+        event = yield from self.event(until)
+        if not isinstance(event, h11.Request):
+            return None
+        self._head_only = event.method == b"HEAD"
+        message = Message(list(event.headers), b"", event.method, event.target)
+        length = message.one(b"content-length")
+        if length is not None and (len(length) > 9 or int(length) > BODY_LIMIT):
+            raise Malformed(413, "the body is too large")
+        message.body = yield from self.body(until)
+        return message
+
+    def answer(
+        self, status: int, body: bytes, headers: Headers, close: bool, until: int | None
+    ) -> Coroutine[bool]:
+        """Send a whole answer; whether the connection can carry another request."""
+        if status != 204:
+            headers = [(b"Content-Length", b"%d" % len(body)), *headers]
+        if close:
+            headers = [*headers, (b"Connection", b"close")]
+        head = h11.Response(status_code=status, headers=headers, reason=HTTPStatus(status).phrase.encode())
+        yield from self.send(self.frame(head, b"" if self._head_only else body), until)
+        if self._h11.our_state is h11.MUST_CLOSE or self._h11.their_state is not h11.DONE:
+            return False
+        self._h11.start_next_cycle()
+        self.fresh = not self.trailing()
+        return True
+
+    def linger(self) -> Coroutine[None]:
+        """Say that nothing more comes and read what the peer still sends.
+
+        Guards the last answer: closing a socket with unread bytes resets it, and the answer may be lost.
+        """
+        until = self._loop.now() + LINGER
+        seen = 0
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+            while seen < LINGER_BYTES:
+                with self._pool.borrow() as buffer:
+                    try:
+                        count = self._sock.recv_into(buffer)
+                    except (BlockingIOError, InterruptedError):
+                        count = -1
+                if count == 0:
+                    return
+                seen += max(0, count)
+                if count < 0 and (yield Wait(self.fileno(), READABLE, until)) is Woken.LATE:
+                    return
+        except OSError:
+            return
+
+    # The client's side
+
+    def answer_head(self, until: int | None) -> Coroutine[Message]:
+        """The head of the answer to what was sent."""
+        while True:
+            event = yield from self.event(until)
+            if isinstance(event, h11.Response):
+                return Message(list(event.headers), b"", status=event.status_code)
+            if not isinstance(event, h11.InformationalResponse):
+                raise Broken("the connection ended before the answer")
+
+    def response(self, until: int | None, limit: int = BODY_LIMIT) -> Coroutine[Message]:
+        """The whole answer; then the connection is ready for another request, or `reusable` says no."""
+        message = yield from self.answer_head(until)
+        message.body = yield from self.body(until, limit)
+        if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
+            self._h11.start_next_cycle()
+        return message
+
+
+def connect(loop: Loop, pool: BufferPool, address: tuple[str, int], until: int) -> Coroutine[Stream]:
+    """A new connection as a client."""
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
+    except OSError as exc:  # out of descriptors
+        raise Broken(str(exc)) from None
+    stream = Stream(loop, pool, sock, server=False)
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            sock.connect(address)
+        except BlockingIOError:
+            while True:
+                if (yield Wait(sock.fileno(), WRITABLE, until)) is Woken.LATE:
+                    raise Late from None
+                error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+                if error:
+                    raise Broken(f"connect: error {error}") from None
+                try:
+                    sock.getpeername()
+                    break
+                except OSError:
+                    continue  # woken too early: a descriptor's number may have a past within one turn
+    except OSError as exc:
+        stream.close()
+        raise Broken(str(exc)) from None
+    except BaseException:
+        stream.close()
+        raise
+    return stream
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """`HOST:PORT` with a numeric host."""
+    host, colon, port = text.rpartition(":")
+    try:
+        socket.inet_aton(host)
+        number = int(port)
+    except (OSError, ValueError):
+        raise ValueError(f"{text!r} is not HOST:PORT") from None
+    if not colon or not host or not 0 < number < 65536:
+        raise ValueError(f"{text!r} is not HOST:PORT")
+    return host, number
--- /dev/null
+++ b/pulleyroute/net/instance.py
@@ -0,0 +1,298 @@
+"""Connections to instances: executions, giving them up, and probes."""
+
+from __future__ import annotations
+
+import json
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import h11
+from loguru import logger
+
+from pulleyroute.interface import LoadReport, Outcome, ReportSource, Settings, WorkerId
+from pulleyroute.net.buffers import BufferPool
+from pulleyroute.net.http import Broken, Headers, Late, Malformed, Message, Stream, connect
+from pulleyroute.net.loop import Coroutine, Loop, Task, Timer
+from pulleyroute.net.name_table import NameTable
+
+PROBE_TIME = 500_000
+GIVE_UP_TIME = 1_000_000  # for a DELETE and its answer
+ANSWER_GRACE = 1_000_000  # an answer may be read this long after its execution ended otherwise
+CONNECT_TIME = 1_000_000  # where the settings name no limit
+IDLE_SHARE = 0.7  # of the time after which the instance's machine may close an idle connection
+
+# A load report's values have other names on sockets than in the settings.
+_SOCKET_NAMES = {
+    "inflight": "rif", "queue": "q", "util": "busy", "latency_ms": "lat_ms", "qps": "rate",
+    "eps": "fail_rate",
+}
+
+
+@dataclass(slots=True, eq=False)
+class Execution:
+    """One attempt of a request at an instance. The host sets it up; `written` and below are this module's."""
+
+    txn: str
+    index: int
+    instance: WorkerId
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    sent: int
+    timeout_at: int
+    over: bool = False  # its outcome is known
+    started: bool = False
+    mute: bool = False  # its instance has nothing more to say of it: it never ran there
+    outcome: Outcome | None = None
+    timer: Timer | None = None
+    written: bool = field(default=False, init=False)  # the last byte is with the kernel
+    accepted: bool = field(default=False, init=False)  # the instance answered 202
+    task: Task | None = field(default=None, init=False)
+
+
+Ended = Callable[[Execution, Outcome, LoadReport | None], None]
+Probed = Callable[[WorkerId, Outcome, int, LoadReport | None], None]
+
+
+class Instances:
+    """Owns every connection to an instance."""
+
+    def __init__(
+        self, loop: Loop, pool: BufferPool, names: NameTable, settings: Settings, most: int
+    ) -> None:
+        self._loop = loop
+        self._pool = pool
+        self._names = names
+        self._settings = settings
+        self._most = most  # connections at once
+        self._count = 0
+        self._idle: dict[WorkerId, list[tuple[int, Stream]]] = {}
+        self._idle_time = int(settings.keepalive * IDLE_SHARE) or 2_000_000
+        self._sweeping = False
+        self.ended: Ended = lambda execution, outcome, report: None
+        self.probed: Probed = lambda instance, outcome, took, report: None
+
+    # Connections
+
+    def _open(self, instance: WorkerId) -> Coroutine[Stream]:
+        """A kept connection that is still there, or a new one."""
+        kept = self._idle.get(instance, [])
+        while kept:
+            since, stream = kept.pop()
+            # Guards against the instance's time limit: a request on a connection that it closes is a reset.
+            if self._loop.now() - since < self._idle_time and stream.reusable():
+                return stream
+            self._drop(stream)
+        member = self._names.member(instance)
+        if member is None:
+            raise Broken("not in the name table")
+        if self._count >= self._most:
+            self._drop_oldest()
+        if self._count >= self._most:
+            raise Crowded
+        self._count += 1
+        try:
+            limit = self._settings.connect_timeout or CONNECT_TIME
+            return (yield from connect(self._loop, self._pool, member.address, self._loop.now() + limit))
+        except BaseException:
+            self._count -= 1
+            raise
+
+    def _keep(self, instance: WorkerId, stream: Stream) -> None:
+        if not stream.reusable():
+            self._drop(stream)
+            return
+        self._idle.setdefault(instance, []).append((self._loop.now(), stream))
+        if not self._sweeping:
+            self._sweeping = True
+            self._loop.call_at(self._loop.now() + self._idle_time, self._sweep)
+
+    def _drop(self, stream: Stream) -> None:
+        if not stream.closed:
+            self._count -= 1
+            stream.close()
+
+    def _drop_oldest(self) -> None:
+        kept = min((k for k in self._idle.values() if k), key=lambda k: k[0][0], default=None)
+        if kept:
+            self._drop(kept.pop(0)[1])
+
+    def _sweep(self) -> None:
+        """Close what has stood idle long enough."""
+        old = self._loop.now() - self._idle_time
+        for kept in self._idle.values():
+            while kept and kept[0][0] <= old:
+                self._drop(kept.pop(0)[1])
+        first = min((kept[0][0] for kept in self._idle.values() if kept), default=None)
+        self._sweeping = first is not None
+        if first is not None:
+            self._loop.call_at(first + self._idle_time, self._sweep)
+
+    def close_idle(self, instance: WorkerId) -> None:
+        for _, stream in self._idle.pop(instance, []):
+            self._drop(stream)
+
+    def _frame(self, stream: Stream, instance: WorkerId, method: bytes, target: bytes,
+               headers: Headers, body: bytes = b"") -> bytes:
+        member = self._names.member(instance)
+        host = f"{member.address[0]}:{member.address[1]}".encode() if member else b"-"
+        if method != b"GET":
+            headers = [*headers, (b"Content-Length", b"%d" % len(body))]
+        head = h11.Request(method=method, target=target, headers=[(b"Host", host), *headers])
+        return stream.frame(head, body)
+
+    # Executions
+
+    def execute(self, execution: Execution) -> None:
+        """Send the request; its outcome is told by `ended`, unless a call tells it first."""
+        execution.task = Task(self._loop, self._executing(execution), f"execution {execution.txn}")
+        execution.task.start()
+
+    def _executing(self, execution: Execution) -> Coroutine[None]:
+        stream = None
+        try:
+            try:
+                stream = yield from self._open(execution.instance)
+                if not self._names.active(execution.instance):
+                    # Guards the drain rule: the instance left the table while the connection came up.
+                    self._keep(execution.instance, stream)
+                    stream = None
+                    execution.mute = True
+                    self.ended(execution, Outcome.MOOT, None)
+                    return
+                left = max(1, (execution.timeout_at - self._loop.now()) // 1000)
+                headers = [*execution.headers, (b"X-Txn", execution.txn.encode()),
+                           (b"X-Remaining-Ms", b"%d" % left)]
+                data = self._frame(stream, execution.instance, execution.method, execution.target,
+                                   headers, execution.body)
+                yield from stream.send(data, execution.timeout_at)
+            except Crowded:
+                execution.mute = True
+                self.ended(execution, Outcome.MOOT, None)
+                return
+            except (Broken, Late) as exc:  # the last byte was not written: it never ran
+                logger.warning("instance {}: could not connect: {}", execution.instance.decode(), exc)
+                execution.mute = True
+                self.ended(execution, Outcome.CONNECT_FAILED, None)
+                return
+            execution.written = True
+            try:
+                # No resending from here on, whatever the connection does: the request may have run.
+                answer = yield from stream.response(execution.timeout_at + ANSWER_GRACE)
+            except (Broken, Late, Malformed) as exc:
+                if not execution.over:
+                    logger.warning("instance {}: reset: {}", execution.instance.decode(), exc)
+                self.ended(execution, Outcome.RESET, None)
+                return
+            self._keep(execution.instance, stream)
+            stream = None
+            self._judge(execution, answer)
+        finally:
+            if stream is not None:
+                self._drop(stream)
+
+    def _judge(self, execution: Execution, answer: Message) -> None:
+        """What an instance's answer means for its execution."""
+        if answer.status == 202:
+            execution.accepted = True
+            return
+        marked = (b"x-turned-away", b"1") in answer.headers
+        report = None
+        if self._settings.report_source is ReportSource.ANSWERS:
+            values = [value for name, value in answer.headers if name == b"x-pressure"]
+            report = self.report(values[0]) if values else None
+        if answer.status in (503, 504) and marked:
+            execution.mute = True
+            self.ended(execution, Outcome.FULL, report)
+            return
+        logger.warning("instance {}: answered {}", execution.instance.decode(), answer.status)
+        self.ended(execution, Outcome.ERROR, report)
+
+    def give_up(self, execution: Execution) -> None:
+        """Stop an execution at its instance: close before its answer, DELETE after."""
+        if execution.task is not None and not execution.task.done:
+            execution.task.cancel()
+        elif execution.accepted:
+            self._loop.spawn(self._deleting(execution.instance, execution.txn), "give-up")
+
+    def _deleting(self, instance: WorkerId, txn: str) -> Coroutine[None]:
+        yield from self._asking(instance, b"DELETE", b"/jobs/" + txn.encode(), GIVE_UP_TIME)
+
+    def _asking(
+        self, instance: WorkerId, method: bytes, target: bytes, limit: int
+    ) -> Coroutine[tuple[Outcome, Message | None]]:
+        """A small request with its answer."""
+        stream = None
+        until = self._loop.now() + limit
+        written = False
+        try:
+            stream = yield from self._open(instance)
+            yield from stream.send(self._frame(stream, instance, method, target, []), until)
+            written = True
+            answer = yield from stream.response(until)
+            self._keep(instance, stream)
+            stream = None
+            return Outcome.OK, answer
+        except Crowded:
+            return Outcome.MOOT, None
+        except Late:
+            return Outcome.TIMEOUT if written else Outcome.CONNECT_FAILED, None
+        except (Broken, Malformed):
+            return Outcome.RESET if written else Outcome.CONNECT_FAILED, None
+        finally:
+            if stream is not None:
+                self._drop(stream)
+
+    # Probes
+
+    def probe(self, instance: WorkerId) -> None:
+        self._loop.spawn(self._probing(instance), "probe")
+
+    def _probing(self, instance: WorkerId) -> Coroutine[None]:
+        sent = self._loop.now()
+        wants_load = self._settings.report_source is not ReportSource.NONE
+        target = b"/-/load" if wants_load else b"/-/healthy"
+        outcome, answer = yield from self._asking(instance, b"GET", target, PROBE_TIME)
+        report = None
+        if outcome is Outcome.MOOT:
+            return
+        if answer is not None:
+            if answer.status == 200:
+                report = self.report(answer.body) if wants_load else None
+            else:
+                outcome = Outcome.FULL if answer.status == 503 else Outcome.ERROR
+        self.probed(instance, outcome, self._loop.now() - sent, report)
+
+    def report(self, data: bytes) -> LoadReport | None:
+        """A load report, as `name=value,...` or as a JSON object; what is not understood is passed over."""
+        values: dict[str, object] = {}
+        try:
+            text = data.decode().strip()
+            if text.startswith("{"):
+                values = json.loads(text)
+            else:
+                for pair in text.split(","):
+                    name, _, value = pair.partition("=")
+                    values[name.strip()] = float(value)
+        except (ValueError, RecursionError):
+            return None
+        return read_report(values, self._settings.report_names)
+
+
+class Crowded(Exception):
+    """All connections that the budget allows are in use; nothing was sent."""
+
+
+def read_report(values: object, names: dict[str, str]) -> LoadReport | None:
+    """The load report in the values of a parsed object."""
+    if not isinstance(values, dict):
+        return None
+    report = LoadReport()
+    for name, value in values.items():
+        attribute = names.get(_SOCKET_NAMES.get(name, name))
+        usable = isinstance(value, int | float) and not isinstance(value, bool) and math.isfinite(value)
+        if attribute is not None and usable:
+            setattr(report, attribute, float(value))
+    return report
--- /dev/null
+++ b/pulleyroute/net/name_table.py
@@ -0,0 +1,185 @@
+"""The name table: discovery's list of instances, as this dispatcher was told it."""
+
+from __future__ import annotations
+
+import json
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import h11
+from loguru import logger
+
+from pulleyroute.interface import Entry, ListKind, Settings, WorkerId, WorkerList, WorkerState
+from pulleyroute.net.buffers import BufferPool
+from pulleyroute.net.http import Broken, Late, Malformed, Stream, connect, parse_address
+from pulleyroute.net.loop import Coroutine, Loop, Task
+
+PATH = b"/api/targets"
+CONNECT_TIME = 1_000_000
+FETCH_TIME = 3_000_000  # discovery works through its calls in turn
+SILENCE = 4_000_000  # a watch says something every 2 s; this long without a line and it is broken
+LINE_LIMIT = 1024 * 1024
+
+_PHASES = {"active": WorkerState.READY, "leaving": WorkerState.DRAINING, "left": WorkerState.GONE}
+
+
+@dataclass(slots=True)
+class Member:
+    """One instance in the name table."""
+
+    address: tuple[str, int]
+    active: bool
+
+
+class NameTable:
+    """Owns the list, its version and the calls to discovery; tells each change as a `WorkerList`."""
+
+    def __init__(
+        self, loop: Loop, pool: BufferPool, discovery: tuple[str, int], settings: Settings, epoch: int
+    ) -> None:
+        self._loop = loop
+        self._pool = pool
+        self._discovery = discovery
+        self._host = f"{discovery[0]}:{discovery[1]}".encode()
+        self._zones = {name: i for i, name in enumerate(settings.zones)}
+        self._kinds = {name: i for i, name in enumerate(settings.kinds)}
+        self._epoch = epoch  # Unix time, in microseconds, when the loop's clock was at 0
+        self._members: dict[WorkerId, Member] = {}  # with those that left: an instance stays known
+        self._version = 0
+        self._watch: Task | None = None
+        self.tell: Callable[[WorkerList], None] = lambda news: None
+
+    def member(self, instance: WorkerId) -> Member | None:
+        return self._members.get(instance)
+
+    def active(self, instance: WorkerId) -> bool:
+        """Whether new work may go there."""
+        member = self._members.get(instance)
+        return member is not None and member.active
+
+    def load_known(self, known: Any) -> None:
+        """Take the list that came with the configuration; raises ValueError if it is malformed."""
+        self.tell(self._take(known, cached=True))
+
+    # Calls to discovery
+
+    def watch(self, on: bool) -> None:
+        """Ask for changes from now on, or cease; an earlier watch gives way."""
+        if self._watch is not None:
+            self._watch.cancel()
+            self._watch = None
+        if on:
+            # Kept before it runs: it may fail, and report, at once.
+            self._watch = Task(self._loop, self._watching(), "watch")
+            self._watch.start()
+
+    def fetch(self) -> None:
+        """Ask for the whole list once."""
+        self._loop.spawn(self._fetching(), "fetch")
+
+    def _failed(self, what: str, why: object) -> None:
+        logger.warning("name table: {} failed: {}", what, why)
+        self.tell(WorkerList(self._version, ListKind.FAILED, []))
+
+    def _call(self, target: bytes) -> Coroutine[Stream]:
+        until = self._loop.now() + CONNECT_TIME
+        stream = yield from connect(self._loop, self._pool, self._discovery, until)
+        try:
+            head = h11.Request(method=b"GET", target=target, headers=[(b"Host", self._host)])
+            yield from stream.send(stream.frame(head, b""), until)
+        except BaseException:
+            stream.close()
+            raise
+        return stream
+
+    def _fetching(self) -> Coroutine[None]:
+        stream = None
+        try:
+            stream = yield from self._call(PATH)
+            answer = yield from stream.response(self._loop.now() + FETCH_TIME, LINE_LIMIT)
+            if answer.status != 200:
+                raise Broken(f"status {answer.status}")
+            news = self._take(json.loads(answer.body), cached=False)
+        except (Broken, Late, Malformed, ValueError, RecursionError) as exc:
+            self._failed("fetch", str(exc) or "no answer in time")
+            return
+        finally:
+            if stream is not None:
+                stream.close()
+        self.tell(news)
+
+    def _watching(self) -> Coroutine[None]:
+        stream = None
+        try:
+            stream = yield from self._call(b"%s?watch=1&from=%d" % (PATH, self._version))
+            answer = yield from stream.answer_head(self._loop.now() + SILENCE)
+            if answer.status != 200:
+                raise Broken(f"status {answer.status}")
+            logger.info("name table: watching from version {}", self._version)
+            rest = b""
+            while True:
+                # Guards against a discovery that went silent: no line for over 4 s is a broken watch.
+                event = yield from stream.event(self._loop.now() + SILENCE)
+                if not isinstance(event, h11.Data):
+                    raise Broken("the watch ended")
+                *lines, rest = (rest + bytes(event.data)).split(b"\n")
+                if len(rest) > LINE_LIMIT:
+                    raise Broken("a line is too long")
+                for line in lines:
+                    if line.strip():
+                        self.tell(self._take(json.loads(line), cached=False))
+        except (Broken, Late, Malformed, ValueError, RecursionError) as exc:
+            self._watch = None
+            self._failed("watch", str(exc) or "no line in time")
+        finally:
+            if stream is not None:
+                stream.close()
+
+    # The list
+
+    def _take(self, data: Any, cached: bool) -> WorkerList:
+        """Check one object whole, then make it part of the list."""
+        if not isinstance(data, dict) or not isinstance(data.get("members"), list):
+            raise ValueError("not an object with members")
+        version, complete = data.get("revision"), data.get("complete")
+        if isinstance(version, bool) or not isinstance(version, int) or not isinstance(complete, bool):
+            raise ValueError("revision or complete is missing")
+        read = [self._entry(item) for item in data["members"]]
+        kind = ListKind.CACHED if cached else ListKind.FULL if complete else ListKind.DELTA
+        if kind is not ListKind.DELTA:
+            for member in self._members.values():
+                member.active = False
+        for entry, address in read:
+            self._members[entry.worker] = Member(address, entry.state is WorkerState.READY)
+        self._version = version
+        changes = ", ".join(f"{e.worker.decode()} {e.state.name.lower()}" for e, _ in read[:8])
+        logger.info("name table: version {} {}, {} entries: {}",
+                    version, kind.name.lower(), len(read), changes)
+        return WorkerList(version, kind, [entry for entry, _ in read])
+
+    def _entry(self, item: Any) -> tuple[Entry, tuple[str, int]]:
+        if not isinstance(item, dict):
+            raise ValueError("a member is not an object")
+        name, phase = item.get("id"), item.get("phase")
+        if not isinstance(name, str) or not name or phase not in _PHASES:
+            raise ValueError(f"member {name!r} with phase {phase!r}")
+        size, started, cell = item.get("size", 1.0), item.get("up_since_ms", 0), item.get("cell", 0)
+        for value in (size, started, cell):
+            if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+                raise ValueError(f"member {name!r} with {value!r} for a number")
+        entry = Entry(
+            name.encode(), _PHASES[phase], started=self._started(started), size=float(size), cell=int(cell),
+            kind=_number(self._kinds, item.get("flavor")), zone=_number(self._zones, item.get("locality")),
+        )
+        return entry, parse_address(str(item.get("host_port")))
+
+    def _started(self, unix_ms: float) -> int:
+        """The loop's clock at that Unix time. 0 means long ago and stays 0, and nothing else becomes 0."""
+        return (int(unix_ms * 1000) - self._epoch or 1) if unix_ms else 0
+
+
+def _number(names: dict[str, int], name: object) -> int:
+    """The place of a name in the settings; names that they do not have get places after them."""
+    return names.setdefault(str(name), len(names))
--- /dev/null
+++ b/pulleyroute/net/service_client.py
@@ -0,0 +1,354 @@
+"""The service client's side: listener, client connections, `/-/ready`, and the instances' `/callback`."""
+
+from __future__ import annotations
+
+import json
+import re
+import socket
+import zlib
+from collections import OrderedDict
+from urllib.parse import parse_qsl
+
+from loguru import logger
+
+from pulleyroute.interface import Settings, WorkerId
+from pulleyroute.net.buffers import BufferPool
+from pulleyroute.net.host import Answer, Call, Ending, Host, Request, State
+from pulleyroute.net.http import Broken, Headers, Late, Malformed, Message, Stream
+from pulleyroute.net.instance import read_report
+from pulleyroute.net.loop import READABLE, Coroutine, Loop, Task, Wait, Woken
+
+READY = b"/-/ready"
+CALLBACK = b"/callback"
+BACKLOG = 1024
+REQUEST_TIME = 10_000_000  # from a request's first byte to its last
+IDLE_TIME = 90_000_000  # between two requests
+WRITE_TIME = 10_000_000
+ACCEPT_PAUSE = 20_000  # after running out of descriptors
+ACCEPTS_A_TURN = 64
+EARLY_BYTES = 64 * 1024  # read ahead of an answer at most
+STOP_IDLE = 600_000  # after SIGTERM: connections stop coming, so the idle ones can go
+STOP_QUIET = 700_000  # and no exit before this
+FULL_RETRY_AFTER = 1_000_000  # advice where there is no room for another request
+PASSED_ON = (b"idempotency-key", b"content-type", b"x-labels")
+
+_TXN = re.compile(rb"[A-Za-z0-9._~-]{1,128}")
+_WHOLE = re.compile(rb"[0-9]{1,12}")
+
+
+class Connection:
+    """One accepted connection."""
+
+    __slots__ = ("answer", "stream", "task")
+
+    def __init__(self, stream: Stream) -> None:
+        self.stream = stream
+        self.task: Task | None = None
+        self.answer: Answer | None = None
+
+
+class ServiceClient:
+    """Owns the listener and every accepted connection."""
+
+    def __init__(
+        self, loop: Loop, pool: BufferPool, host: Host, settings: Settings, most: int, most_jobs: int
+    ) -> None:
+        self._loop = loop
+        self._pool = pool
+        self._host = host
+        self._settings = settings
+        self._classes = {cls.name.encode(): i for i, cls in enumerate(settings.classes)}
+        self._most = most  # accepted connections
+        self._most_jobs = most_jobs  # requests at once; the rest is kept for the instances' calls
+        self._connections: set[Connection] = set()
+        self._idle: OrderedDict[Connection, None] = OrderedDict()  # longest idle first
+        self._listener: socket.socket | None = None
+        self._acceptor: Task | None = None
+        self._stopping = False
+        self._quiet = False  # after SIGTERM: nothing new is expected
+
+    def listen(self, address: tuple[str, int]) -> None:
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
+        try:
+            listener.setblocking(False)
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind(address)
+            listener.listen(BACKLOG)
+        except OSError:
+            listener.close()
+            raise
+        self._listener = listener
+        self._acceptor = self._loop.spawn(self._accepting(listener), "listener")
+
+    @property
+    def address(self) -> tuple[str, int]:
+        assert self._listener is not None
+        host, port = self._listener.getsockname()
+        return host, port
+
+    # Stopping
+
+    def stop(self) -> None:
+        """SIGTERM: keep serving, end each connection with its answer, and leave once all is answered."""
+        if self._stopping:
+            return
+        self._stopping = True
+        now = self._loop.now()
+        self._loop.call_at(now + STOP_IDLE, self._close_idle)
+        self._loop.call_at(now + STOP_QUIET, self._now_quiet)
+
+    def _close_idle(self) -> None:
+        for connection in list(self._idle):
+            if connection.task is not None:
+                connection.task.nudge()
+
+    def _now_quiet(self) -> None:
+        self._quiet = True
+        self._leave()
+
+    def _leave(self) -> None:
+        """Stop the loop once nothing is owed any more."""
+        if self._quiet and not self._host.open and not self._busy():
+            logger.info("all is answered, leaving")
+            self._loop.stop()
+
+    def _busy(self) -> bool:
+        return len(self._connections) > len(self._idle)
+
+    # Accepting
+
+    def _accepting(self, listener: socket.socket) -> Coroutine[None]:
+        while True:
+            for _ in range(ACCEPTS_A_TURN):
+                if len(self._connections) >= self._most and not self._shed():
+                    break
+                try:
+                    sock, _ = listener.accept()
+                except (BlockingIOError, InterruptedError):
+                    break
+                except ConnectionError:
+                    continue
+                except OSError as exc:
+                    # Guards against EMFILE: the listener stays readable, and the loop would spin.
+                    logger.error("cannot accept: {}", exc)
+                    self._shed()
+                    yield Wait(until=self._loop.now() + ACCEPT_PAUSE)
+                    break
+                self._welcome(sock)
+            if len(self._connections) >= self._most:
+                yield Wait(until=self._loop.now() + ACCEPT_PAUSE)
+            else:
+                yield Wait(listener.fileno(), READABLE)
+
+    def _shed(self) -> bool:
+        """Close the connection that has been idle for longest."""
+        if not self._idle:
+            return False
+        connection, _ = self._idle.popitem(last=False)
+        if connection.task is not None:
+            connection.task.cancel()
+        return True
+
+    def _welcome(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError:
+            sock.close()
+            return
+        connection = Connection(Stream(self._loop, self._pool, sock, server=True))
+        self._connections.add(connection)
+        connection.task = Task(self._loop, self._serving(connection), "client connection")
+        connection.task.start()
+
+    # One connection
+
+    def _serving(self, connection: Connection) -> Coroutine[None]:
+        stream = connection.stream
+        try:
+            while True:
+                if not (yield from self._first_byte(connection)):
+                    return
+                try:
+                    message = yield from stream.request(self._loop.now() + REQUEST_TIME)
+                    if message is None:
+                        return
+                    going = yield from self._route(connection, message)
+                except Malformed as exc:
+                    # After an error in the framing nobody knows where the next request begins.
+                    yield from self._tell(stream, exc.status, str(exc).encode(), close=True)
+                    yield from stream.linger()
+                    return
+                except Late:
+                    yield from self._tell(stream, 408, b"the request did not come in time", close=True)
+                    return
+                if not going:
+                    yield from stream.linger()
+                    return
+        except (Broken, Late):
+            return
+        finally:
+            self._idle.pop(connection, None)
+            self._connections.discard(connection)
+            stream.close()
+            if self._quiet:
+                self._loop.call_at(self._loop.now(), self._leave)
+
+    def _first_byte(self, connection: Connection) -> Coroutine[bool]:
+        """Wait between two requests; False if the connection is to end."""
+        stream = connection.stream
+        if not stream.fresh:
+            return True
+        self._idle[connection] = None
+        until = self._loop.now() + IDLE_TIME
+        try:
+            while True:
+                count = stream.pull()
+                if count is not None:
+                    return count > 0
+                if (yield Wait(stream.fileno(), READABLE, until)) is not Woken.READY:
+                    return stream.pull() is not None  # what came at the last moment is still served
+        finally:
+            self._idle.pop(connection, None)
+
+    def _tell(self, stream: Stream, status: int, body: bytes = b"", headers: Headers | None = None,
+              close: bool = False) -> Coroutine[bool]:
+        """Send an answer; whether the connection goes on."""
+        if body and status != 200:
+            body += b"\n"
+        kind = [(b"Content-Type", b"text/plain; charset=utf-8")] if body else []
+        headers = [*kind, *(headers or [])]
+        until = self._loop.now() + WRITE_TIME
+        return (yield from stream.answer(status, body, headers, close or self._stopping, until))
+
+    def _route(self, connection: Connection, message: Message) -> Coroutine[bool]:
+        stream = connection.stream
+        path = message.target.partition(b"?")[0]
+        if path == READY:
+            if message.method not in (b"GET", b"HEAD"):
+                return (yield from self._tell(stream, 405, headers=[(b"Allow", b"GET, HEAD")]))
+            if self._stopping:
+                return (yield from self._tell(stream, 503, b"stopping"))
+            return (yield from self._tell(stream, 200, b"ready\n"))
+        if path == CALLBACK:
+            if message.method != b"POST":
+                return (yield from self._tell(stream, 405, headers=[(b"Allow", b"POST")]))
+            try:
+                call = read_call(message.body, self._settings)
+            except ValueError as exc:
+                return (yield from self._tell(stream, 400, str(exc).encode()))
+            self._host.call(call)
+            return (yield from self._tell(stream, 204))
+        job_class = self._classes.get(path[1:].partition(b"/")[0]) if path.startswith(b"/") else None
+        if job_class is None:
+            return (yield from self._tell(stream, 404, b"no such class"))
+        if message.method != b"POST":
+            return (yield from self._tell(stream, 405, headers=[(b"Allow", b"POST")]))
+        try:
+            request = read_request(message, job_class)
+        except (ValueError, Malformed) as exc:
+            return (yield from self._tell(stream, 400, str(exc).encode()))
+        if self._host.knows(request.txn):
+            return (yield from self._tell(stream, 409, b"a request of this id is being worked on"))
+        if self._host.open >= self._most_jobs:
+            # Guards the descriptors that instances' calls need: without those no job would ever end.
+            return (yield from self._tell(stream, 503, b"full", [retry_after(FULL_RETRY_AFTER)]))
+        return (yield from self._working(connection, request))
+
+    def _working(self, connection: Connection, request: Request) -> Coroutine[bool]:
+        """Hand a request to the host and wait for its answer, or for the client to go."""
+        stream = connection.stream
+
+        def reply(answer: Answer) -> None:
+            connection.answer = answer
+            if connection.task is not None:
+                connection.task.nudge()
+
+        connection.answer = None
+        job = self._host.submit(request, reply)
+        try:
+            while (answer := connection.answer) is None:
+                if stream.trailing() > EARLY_BYTES:
+                    yield Wait()  # guards against a client that sends on and on: no more is read for now
+                    continue
+                if (yield Wait(stream.fileno(), READABLE)) is Woken.READY and stream.pull() == 0:
+                    raise Broken("the client is gone")
+        finally:
+            self._host.abandon(job)  # changes nothing once it is answered
+        return (yield from self._tell(stream, *_FORMS[answer.ending](answer)))
+
+
+def _refused(answer: Answer) -> tuple[int, bytes, Headers]:
+    return 503, b"refused", [retry_after(answer.retry_after)] if answer.retry_after else []
+
+
+_FORMS = {
+    Ending.SERVED: lambda answer: (200, answer.result, []),
+    Ending.REFUSED: _refused,
+    Ending.FAILED: lambda answer: (502, b"failed", []),
+}
+
+
+def retry_after(span: int) -> tuple[bytes, bytes]:
+    return b"Retry-After", b"%.3f" % (span / 1e6)
+
+
+def read_request(message: Message, job_class: int) -> Request:
+    """A client's request; raises ValueError or Malformed if it is not in form."""
+    txn, remaining = message.one(b"x-txn"), message.one(b"x-remaining-ms")
+    if txn is None or not _TXN.fullmatch(txn):
+        raise ValueError("X-Txn is missing or not an id")
+    if remaining is None or not _WHOLE.fullmatch(remaining):
+        raise ValueError("X-Remaining-Ms is missing or not whole milliseconds")
+    labels = read_labels(message.one(b"x-labels") or b"")
+    pairs = dict(parse_qsl(message.target.partition(b"?")[2].decode("latin-1"), keep_blank_values=True))
+    return Request(
+        txn=txn.decode(), job_class=job_class, remaining=int(remaining) * 1000, method=message.method,
+        target=message.target, body=message.body,
+        headers=[(name, value) for name, value in message.headers if name in PASSED_ON],
+        slots=labels.get("slots", 1.0), memory=labels.get("memory", 0.0), key=read_key(pairs.get("k", "")),
+        is_repeat=message.one(b"x-resent") == b"1",
+    )
+
+
+def read_labels(data: bytes) -> dict[str, float]:
+    """`name=value,name=value`; values that are no sensible numbers are an error."""
+    labels: dict[str, float] = {}
+    for pair in data.decode("latin-1").split(",") if data else []:
+        name, _, value = pair.partition("=")
+        number = float(value)
+        if not 0 <= number < 1e9:
+            raise ValueError(f"label {name.strip()!r} is out of range")
+        labels[name.strip()] = number
+    return labels
+
+
+def read_key(text: str) -> int:
+    """What the request is about, as a number: the hexadecimal digits, or a digest of anything else."""
+    if re.fullmatch(r"[0-9a-fA-F]{1,16}", text):
+        return int(text, 16)
+    return zlib.crc32(text.encode()) if text else 0
+
+
+def read_call(data: bytes, settings: Settings) -> Call:
+    """One call-back; raises ValueError if it is not in form."""
+    try:
+        value = json.loads(data)
+    except RecursionError:
+        raise ValueError("nested too deep") from None
+    if not isinstance(value, dict):
+        raise ValueError("not a JSON object")
+    txn, instance = value.get("id"), value.get("from")
+    if not isinstance(txn, str) or not isinstance(instance, str):
+        raise ValueError("id or from is missing")
+    state = State(value.get("state"))
+    result, share = value.get("result"), value.get("share", 0.0)
+    if state is State.DONE and not isinstance(result, str):
+        raise ValueError("done without a result")
+    if isinstance(share, bool) or not isinstance(share, int | float):
+        raise ValueError("share is not a number")
+    return Call(
+        txn, WorkerId(instance.encode("utf-8", "surrogatepass")), state, float(share),
+        result.encode("utf-8", "surrogatepass") if isinstance(result, str) else b"",
+        read_report(value.get("load"), settings.report_names),
+    )
--- /dev/null
+++ b/pulleyroute/settings.py
@@ -0,0 +1,166 @@
+"""The one reader of the settings, shared by the simulator's wire and the real dispatcher. No decisions."""
+
+from __future__ import annotations
+
+import json
+import math
+from typing import Any
+
+from pulleyroute.interface import Effect, JobClass, ReportSource, Scope, Settings, Tenant
+
+
+class SettingsError(ValueError):
+    """Something in the settings is missing or senseless; the text names it."""
+
+
+# Load report values under the wire's names; x0 and x1 are named by the settings.
+_REPORT_FIELDS = {
+    "rif": "in_hand",
+    "q": "queued",
+    "busy": "busy",
+    "lat_ms": "latency",
+    "rate": "rate",
+    "fail_rate": "errors",
+}
+_EXTRA_FIELDS = {"free slots": "free_slots", "free memory": "free_memory"}
+
+_EFFECTS = {"read_like": Effect.SAFE, "idempotency_key": Effect.KEYED, "non_idempotent": Effect.UNSAFE}
+_SOURCES = {"piggyback": ReportSource.ANSWERS, "pull": ReportSource.PROBES, "silent": ReportSource.NONE}
+_MISSING: Any = object()
+
+
+class _Section:
+    """Reads one JSON object of the settings, naming what is missing or senseless."""
+
+    def __init__(self, data: Any, path: str) -> None:
+        if not isinstance(data, dict):
+            raise SettingsError(f"settings: {path or 'top level'} is not an object")
+        self._data = data
+        self._path = path
+
+    def _name(self, key: str) -> str:
+        return f"{self._path}.{key}" if self._path else key
+
+    def raw(self, key: str, default: Any = _MISSING) -> Any:
+        value = self._data.get(key, default)
+        if value is _MISSING:
+            raise SettingsError(f"settings: {self._name(key)} is missing")
+        return value
+
+    def section(self, key: str) -> _Section:
+        return _Section(self.raw(key, {}), self._name(key))
+
+    def number(self, key: str, default: Any = _MISSING, least: float = 0) -> float:
+        value = self.raw(key, default)
+        if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value < math.inf:
+            raise SettingsError(f"settings: {self._name(key)} is {value!r}, not a number of at least {least}")
+        return float(value)
+
+    def whole(self, key: str, default: Any = _MISSING, least: int = 0) -> int:
+        return int(self.number(key, default, least))
+
+    def flag(self, key: str) -> bool:
+        value = self.raw(key, False)
+        if not isinstance(value, bool):
+            raise SettingsError(f"settings: {self._name(key)} is {value!r}, not true or false")
+        return value
+
+    def word(self, key: str, words: dict[str, Any], default: Any = _MISSING) -> Any:
+        value = self.raw(key, default)
+        if not isinstance(value, str) or value not in words:
+            raise SettingsError(f"settings: {self._name(key)} is {value!r}, not one of {', '.join(words)}")
+        return words[value]
+
+    def items(self, key: str, default: Any = _MISSING) -> list[Any]:
+        value = self.raw(key, default)
+        if not isinstance(value, list):
+            raise SettingsError(f"settings: {self._name(key)} is not a list")
+        return value
+
+    def sections(self, key: str, default: Any = _MISSING) -> list[_Section]:
+        return [_Section(item, f"{self._name(key)}[{i}]") for i, item in enumerate(self.items(key, default))]
+
+
+def decode_settings(info: bytes) -> tuple[Settings, tuple[str | None, ...]]:
+    """The settings in `info`, and the attribute of a load report that each reported value goes to."""
+    try:
+        data = json.loads(info)
+    except (UnicodeDecodeError, ValueError, RecursionError) as exc:
+        raise SettingsError(f"settings: not JSON: {exc}") from None
+    return read_settings(data)
+
+
+def read_settings(data: Any) -> tuple[Settings, tuple[str | None, ...]]:
+    """The same from an object that is parsed already."""
+    top = _Section(data, "")
+    caps, family, duties = top.section("caps"), top.section("family-info"), top.section("obligations")
+    prices, load = top.section("prices"), top.section("load-report")
+    classes = [
+        _job_class(item, family, i) for i, item in enumerate(top.sections("classes"))
+    ]
+    if not classes:
+        raise SettingsError("settings: classes is empty")
+    settings = Settings(
+        classes=classes,
+        dispatchers=top.whole("balancers", least=1),
+        me=top.whole("me"),
+        max_attempts=caps.whole("max-attempts", least=1),
+        zone=top.whole("my-zone", 0),
+        zones=[str(name) for name in top.items("areas", [])],
+        kinds=[str(name) for name in top.items("flavors", [])],
+        tenants=[
+            Tenant(str(item.raw("name", i)), item.number("portion", 1.0), item.number("quota-per-s", 0.0))
+            for i, item in enumerate(top.sections("customers", []))
+        ],
+        over_share_worth=top.number("over-share-worth", 1.0),
+        by_work=top.raw("counted-by", "request") == "work",
+        report_source=load.word("via", _SOURCES, "silent"),
+        list_on_request=top.word("membership-mode", {"pushed": False, "on_request": True}),
+        ask_every=duties.whole("ask-every", 10_000_000, least=1),
+        probes=caps.flag("probes"),
+        cancels=caps.flag("cancelling"),
+        second_copies=caps.flag("second-copies"),
+        peer_messages=caps.flag("peer-messages"),
+        max_retry_after=caps.whole("max-retry-after", 0) if caps.flag("retry-after") else 0,
+        connect_timeout=caps.whole("dial-timeout", 0),
+        keepalive=caps.whole("keepalive", 0),
+        progress=family.whole("progress", 0),
+        tells_start=family.flag("tells-start"),
+        drain_grace=duties.whole("drain-grace"),
+        tip_multiple=duties.number("tip-multiple"),
+        tip_window=duties.whole("fall"),
+        cold_share=duties.number("cold-share"),
+        ramp_time=duties.whole("ramp-time"),
+        price_cross_zone=prices.number("cross-zone", 0.0),
+        price_probe=prices.number("probe", 0.0),
+        price_handshake=prices.number("handshake", 0.0),
+        price_peer=prices.number("peer", 0.0),
+    )
+    names = dict(_REPORT_FIELDS)
+    for extra in ("x0", "x1"):
+        attribute = _EXTRA_FIELDS.get(family.raw(f"report-{extra}", ""))
+        if attribute:
+            names[extra] = attribute
+    fields = [(str(name), names.get(str(name))) for name in load.items("fields", [])]
+    settings.report_names = {name: attribute for name, attribute in fields if attribute is not None}
+    return settings, tuple(attribute for _, attribute in fields)
+
+
+def _job_class(item: _Section, family: _Section, i: int) -> JobClass:
+    def each(key: str, default: Any) -> Any:
+        values = family.items(key, [])
+        return values[i] if i < len(values) else default
+
+    return JobClass(
+        name=str(item.raw("name", i)),
+        effect=item.word("effect", _EFFECTS),
+        aim=item.whole("aim", least=1),
+        give_up=item.whole("give-up", least=1),
+        worth=item.number("gain", 1.0),
+        late_worth=item.number("late-worth", 0.0),
+        scope=item.word("key-scope", {scope.value: scope for scope in Scope}, "all"),
+        repeat_window=item.whole("repeat-window", 0),
+        stretch=each("class-stretch", item.number("aim-stretch", 0.0)),
+        kind=each("class-kind", -1),
+        priority=each("class-priority", 0),
+    )
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -40,7 +40,8 @@
     WorkerList,
     WorkerState,
 )
-from pulleyroute.wire import BATCH_HEADER, Begin, Decoder, WireError, decode_settings, encode
+from pulleyroute.settings import SettingsError, decode_settings
+from pulleyroute.wire import BATCH_HEADER, Begin, Decoder, WireError, encode
 
 WORKER = bytes.fromhex("0a124a072b23")
 SUBMIT = (  # all but its flags
@@ -178,7 +179,7 @@
         del place[path[-1]]
     else:
         place[path[-1]] = value
-    with pytest.raises(WireError, match=named.replace(".", r"\.")):
+    with pytest.raises(SettingsError, match=named.replace(".", r"\.")):
         decode_settings(json.dumps(info).encode())
 
 
