--- a/pulleyroute/net/host.py
+++ b/pulleyroute/net/host.py
@@ -89,6 +89,13 @@
     report: api.LoadReport | None = None
 
 
+def _history(job: Job) -> str:
+    """The executions of a job, for the log."""
+    ends = ["out" if e.outcome is None else e.outcome.name.lower() for e in job.executions]
+    each = [f"{e.instance.decode()} {end}" for e, end in zip(job.executions, ends, strict=True)]
+    return ", ".join(each) or "no execution"
+
+
 @dataclass(slots=True, eq=False)
 class Job:
     """A request taken. Its number is from a counter and is not used again."""
@@ -207,6 +214,8 @@
     def _answer(self, job: Job, answer: Answer) -> None:
         """The one final answer."""
         self._conclude(job)
+        if answer.ending is not Ending.SERVED:
+            logger.info("request {} {}: {}", job.request.txn, answer.ending.value, _history(job))
         job.reply(answer)
         self._forget(job)
 
