Advise clients when to come back after a refusal

Seen: the module refused without advice, so the client of a refused job came back at once or after its own short wait, and met the same jam. Each request given up is still answered at once; the answer now carries `Retry-After`.

Faulty line: Dispatcher.end in rules.py.

--- a/pulleyroute/rules.py
+++ b/pulleyroute/rules.py
@@ -410,7 +410,9 @@
     def end(self, job: Job) -> None:
         """The final answer: a refusal if nothing ran, else a failure."""
         ran = any(a.ran for a in job.attempts)
-        self.todo.append(api.Fail(job.id) if ran else api.Refuse(job.id))
+        # Guards against a surge that returns at once: the jam it met will not have passed.
+        advice = min(job.cls.aim, self.settings.max_retry_after)
+        self.todo.append(api.Fail(job.id) if ran else api.Refuse(job.id, advice))
         self.close(job)
 
     def close(self, job: Job) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -470,3 +470,11 @@
             bench.tell(AttemptStarted(bench.next_job - 1, 0, pushed(actions)))
         bench.run(SECOND // 20)
     assert 8 < len(bench.dispatcher.near) <= 24
+
+
+def test_a_refusal_advises_the_class_aim_as_far_as_clients_heed_it():
+    for longest, advice in ((0, 0), (SECOND // 2, SECOND // 2), (5 * SECOND, SECOND)):
+        bench = Bench([], max_retry_after=longest)
+        job, _ = bench.job()
+        bench.run(20 * SECOND)
+        assert of(Refuse, bench.log) == [Refuse(job, advice)]
