--- a/pulleyroute/net/http.py
+++ b/pulleyroute/net/http.py
@@ -24,6 +24,10 @@
     """The connection ended or broke."""
 
 
+class Crowded(Exception):
+    """There is no descriptor for another connection; nothing was sent."""
+
+
 class Late(Exception):
     """The time for it is over."""
 
@@ -243,8 +247,9 @@
     """A new connection as a client."""
     try:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
-    except OSError as exc:  # out of descriptors
-        raise Broken(str(exc)) from None
+    except OSError as exc:
+        # Guards against blaming a peer for what is this process's own want: it has run out of descriptors.
+        raise Crowded(str(exc)) from None
     stream = Stream(loop, pool, sock, server=False)
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/pulleyroute/net/instance.py
+++ b/pulleyroute/net/instance.py
@@ -12,7 +12,7 @@
 
 from pulleyroute.interface import LoadReport, Outcome, ReportSource, Settings, WorkerId
 from pulleyroute.net.buffers import BufferPool
-from pulleyroute.net.http import Broken, Headers, Late, Malformed, Message, Stream, connect
+from pulleyroute.net.http import Broken, Crowded, Headers, Late, Malformed, Message, Stream, connect
 from pulleyroute.net.loop import Coroutine, Loop, Task, Timer
 from pulleyroute.net.name_table import NameTable
 
@@ -91,7 +91,7 @@
         if self._count >= self._most:
             self._drop_oldest()
         if self._count >= self._most:
-            raise Crowded
+            raise Crowded("the budget of connections is used up")
         self._count += 1
         try:
             limit = self._settings.connect_timeout or CONNECT_TIME
@@ -281,10 +281,6 @@
         return read_report(values, self._settings.report_names)
 
 
-class Crowded(Exception):
-    """All connections that the budget allows are in use; nothing was sent."""
-
-
 def read_report(values: object, names: dict[str, str]) -> LoadReport | None:
     """The load report in the values of a parsed object."""
     if not isinstance(values, dict):
--- a/pulleyroute/net/name_table.py
+++ b/pulleyroute/net/name_table.py
@@ -13,7 +13,7 @@
 
 from pulleyroute.interface import Entry, ListKind, Settings, WorkerId, WorkerList, WorkerState
 from pulleyroute.net.buffers import BufferPool
-from pulleyroute.net.http import Broken, Late, Malformed, Stream, connect, parse_address
+from pulleyroute.net.http import Broken, Crowded, Late, Malformed, Stream, connect, parse_address
 from pulleyroute.net.loop import Coroutine, Loop, Task
 
 PATH = b"/api/targets"
@@ -102,7 +102,7 @@
             if answer.status != 200:
                 raise Broken(f"status {answer.status}")
             news = self._take(json.loads(answer.body), cached=False)
-        except (Broken, Late, Malformed, ValueError, RecursionError) as exc:
+        except (Broken, Crowded, Late, Malformed, ValueError, RecursionError) as exc:
             self._failed("fetch", str(exc) or "no answer in time")
             return
         finally:
@@ -130,7 +130,7 @@
                 for line in lines:
                     if line.strip():
                         self.tell(self._take(json.loads(line), cached=False))
-        except (Broken, Late, Malformed, ValueError, RecursionError) as exc:
+        except (Broken, Crowded, Late, Malformed, ValueError, RecursionError) as exc:
             self._watch = None
             self._failed("watch", str(exc) or "no line in time")
         finally:
--- a/tests/net/test_instance.py
+++ b/tests/net/test_instance.py
@@ -1,9 +1,12 @@
 """Load reports, and executions against scripted instances on loopback."""
 
+import socket
+
 import pytest
 
 from pulleyroute.interface import LoadReport
 from pulleyroute.net.instance import read_report
+from tests.net.scene import MS, SECOND, TAKEN, Scene
 
 NAMES = {"q": "queued", "rif": "in_hand", "x0": "free_slots"}
 
@@ -18,3 +21,86 @@
 ])
 def test_load_reports_under_the_names_of_the_sockets(values, report):
     assert read_report(values, NAMES) == report
+
+
+def finish(scene, client, txn="t1"):
+    scene.call(**{"id": txn, "from": "s-0", "state": "done", "result": "r"})
+    assert b" 200 " in client.message()[0]
+    scene.loop.settle()
+
+
+def served_once(scene):
+    client = scene.ask()
+    runner = scene.runners["s-0"].accept()
+    runner.message()
+    runner.send(TAKEN)
+    finish(scene, client)
+    return client, runner
+
+
+@pytest.mark.parametrize("way", ["closed", "idle for long", "spoken out of turn"])
+def test_a_kept_connection_that_may_break_is_not_used_again(way):
+    # Guards against resets: a request written to a connection that its instance has closed may have run.
+    scene = Scene()
+    client, runner = served_once(scene)
+    if way == "closed":
+        runner.close()
+    elif way == "spoken out of turn":
+        runner.send(b"HTTP/1.1 408 Late\r\n\r\n")
+    else:
+        scene.loop.skip(3600 * MS)  # the instance may close it after 5 s
+    scene.loop.settle()
+    scene.ask(txn="t2", peer=client)
+    fresh = scene.runners["s-0"].accept()
+    assert b"X-Txn: t2" in fresh.message()[0] and b"X-Txn" not in runner.data
+    finish(scene, client, "t2")
+
+
+def test_a_kept_connection_breaking_after_the_request_is_a_reset_and_not_resent():
+    scene = Scene()
+    client, runner = served_once(scene)
+    scene.ask("/charge", txn="t2", peer=client)
+    runner.message()
+    runner.close()
+    assert b" 502 " in client.message()[0]
+    scene.loop.skip(SECOND)
+    assert scene.runners["s-0"].untouched()
+
+
+def test_without_a_descriptor_nothing_is_sent_and_no_instance_is_blamed(monkeypatch):
+    scene = Scene()
+    client = scene.client()
+    scene.loop.settle()
+
+    def none_left(*args):
+        raise OSError(24, "Too many open files")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(socket, "socket", none_left)
+        scene.ask("/charge", peer=client)
+        scene.loop.until(lambda: scene.host.open)
+        scene.loop.settle()
+    worker = scene.host._dispatcher.workers[b"s-0"]
+    assert not worker.holds and scene.host.open
+    scene.loop.skip(SECOND)
+    assert b"X-Txn: t1" in scene.runners["s-0"].accept().message()[0]
+
+
+def test_the_budget_of_connections_is_kept_and_idle_ones_make_room():
+    scene = Scene(instances=2)
+    scene.instances._most = 1
+    open_at, seen = {}, []
+    for n in range(4):
+        txn = f"t{n}"
+        client = scene.ask(txn=txn)
+        scene.loop.until(lambda txn=txn: scene.host.knows(txn))
+        name = scene.host._by_txn[txn].executions[0].instance.decode()
+        if not seen or seen[-1] != name:
+            open_at = {name: scene.runners[name].accept()}
+        open_at[name].message()
+        open_at[name].send(TAKEN)
+        scene.loop.settle()
+        scene.call(**{"id": txn, "from": name, "state": "done", "result": "r"})
+        assert b" 200 " in client.message()[0] and scene.instances._count == 1
+        seen.append(name)
+    assert len(set(seen)) == 2
--- /dev/null
+++ b/tests/net/test_main.py
@@ -0,0 +1,64 @@
+"""The program as users start it, with the example's configuration and toy server, until SIGTERM."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent.parent
+HOST = "127.77.13.5"  # an address that nothing else uses
+GIVEN_TIME = 60
+
+
+def exchange(data):
+    """One request on a connection of its own: the whole answer, or None while nobody listens."""
+    try:
+        with socket.create_connection((HOST, 8080), timeout=GIVEN_TIME) as sock:
+            sock.sendall(data)
+            return b"".join(iter(lambda: sock.recv(65536), b""))
+    except ConnectionError:
+        return None
+
+
+def get(path):
+    return exchange(b"GET %s HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n" % path)
+
+
+def until(condition):
+    end = time.monotonic() + GIVEN_TIME
+    while not (value := condition()):
+        assert time.monotonic() < end, "it did not come"
+        time.sleep(0.02)
+    return value
+
+
+def test_the_example_serves_and_sigterm_ends_it_cleanly(tmp_path):
+    text = (ROOT / "examples" / "config.json").read_text().replace("127.0.0.1", HOST)
+    assert json.loads(text)["listen"] == f"{HOST}:8080"
+    path = tmp_path / "config.json"
+    path.write_text(text)
+    env = {**os.environ, "PYTHONPATH": str(ROOT)}
+    for name in ("PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY"):
+        env.pop(name, None)
+    toy = subprocess.Popen([sys.executable, str(ROOT / "examples" / "toy_server.py"), HOST], env=env,
+                           stdout=subprocess.PIPE)
+    node = subprocess.Popen([sys.executable, "-m", "pulleyroute"], cwd=ROOT, stderr=subprocess.PIPE,
+                            env={**env, "PROXY_CONFIG": str(path)})
+    try:
+        assert [toy.stdout.readline() for _ in range(3)][-1].startswith(b"s-two listens")
+        until(lambda: (get(b"/-/ready") or b"").startswith(b"HTTP/1.1 200 "))
+        answer = exchange(b"POST /balance-check HTTP/1.1\r\nHost: x\r\nX-Txn: t1\r\nX-Remaining-Ms: 60000\r\n"
+                          b"Content-Length: 5\r\nConnection: close\r\n\r\nhello")
+        assert answer.startswith(b"HTTP/1.1 200 ") and answer.endswith(b" did hello")
+        node.send_signal(signal.SIGTERM)
+        until(lambda: not (get(b"/-/ready") or b"").startswith(b"HTTP/1.1 200 "))
+        assert node.wait(GIVEN_TIME) == 0
+        assert b"all is answered, leaving" in node.stderr.read()
+    finally:
+        for process in (node, toy):
+            process.kill()
+            process.wait()
