--- a/pulleyroute/net/instance.py
+++ b/pulleyroute/net/instance.py
@@ -257,7 +257,7 @@
         outcome, answer = yield from self._asking(instance, b"GET", target, PROBE_TIME)
         report = None
         if outcome is Outcome.MOOT:
-            return
+            return  # it was not sent: nothing is known, and the instance is not to blame
         if answer is not None:
             if answer.status == 200:
                 report = self.report(answer.body) if wants_load else None
--- a/pulleyroute/net/service_client.py
+++ b/pulleyroute/net/service_client.py
@@ -30,6 +30,7 @@
 STOP_IDLE = 600_000  # after SIGTERM: connections stop coming, so the idle ones can go
 STOP_QUIET = 700_000  # and no exit before this
 FULL_RETRY_AFTER = 1_000_000  # advice where there is no room for another request
+LABELS = ("slots", "memory")
 PASSED_ON = (b"idempotency-key", b"content-type", b"x-labels")
 
 _TXN = re.compile(rb"[A-Za-z0-9._~-]{1,128}")
@@ -312,14 +313,15 @@
 
 
 def read_labels(data: bytes) -> dict[str, float]:
-    """`name=value,name=value`; values that are no sensible numbers are an error."""
+    """Of `name=value,name=value` those that are known; a value that is no sensible number is an error."""
     labels: dict[str, float] = {}
-    for pair in data.decode("latin-1").split(",") if data else []:
+    for pair in data.decode("latin-1").split(","):
         name, _, value = pair.partition("=")
-        number = float(value)
-        if not 0 <= number < 1e9:
-            raise ValueError(f"label {name.strip()!r} is out of range")
-        labels[name.strip()] = number
+        if name.strip() in LABELS:
+            number = float(value)
+            if not 0 <= number < 1e9:
+                raise ValueError(f"label {name.strip()!r} is out of range")
+            labels[name.strip()] = number
     return labels
 
 
--- a/tests/net/test_service_client.py
+++ b/tests/net/test_service_client.py
@@ -50,6 +50,18 @@
     assert not scene.host.open and not scene.loop.errors
 
 
+def test_unknown_labels_are_passed_over_and_a_client_may_wait_for_100():
+    scene = Scene()
+    peer = scene.client()
+    body = GOOD.replace(b"Length: 0", b"Length: 2\r\nExpect: 100-continue\r\nX-Labels: new=x,memory=2")
+    peer.send(body.replace(b": 100\r", b": 4000\r"))
+    assert b" 100 " in peer.message()[0]
+    peer.send(b"ok")
+    scene.loop.until(lambda: scene.host.open)
+    request = scene.host._jobs[1].request
+    assert (request.body, request.memory) == (b"ok", 2.0)
+
+
 def test_an_id_that_is_being_worked_on_is_no_new_request():
     scene = Scene()
     first = scene.ask()
