Bound what one client can claim or leave behind

Seen while reviewing what the module learns from clients: `on_job` keeps the longest time that a class's requests came with, and takes that for a first try's. Host.submit now takes no more than the class's give-up time; a test fails without it.

Also: requests whose client left are held until their executions end, and were not counted; with room for N waiting clients at most 2 N are held now.

An execution's `mute` was written by two parts. It is now `nacked`, owned by instance.py, and the rest follows from the outcome.

--- a/pulleyroute/net/host.py
+++ b/pulleyroute/net/host.py
@@ -91,6 +91,13 @@
     report: api.LoadReport | None = None
 
 
+def _silent(execution: Execution) -> bool:
+    """Whether no call will come of it: it was not sent, or its answer said that it was not taken."""
+    return execution.over and (
+        execution.nacked or execution.outcome in (Outcome.CONNECT_FAILED, Outcome.MOOT)
+    )
+
+
 def _history(job: Job) -> str:
     """The executions of a job, for the log."""
     ends = ["out" if e.outcome is None else e.outcome.name.lower() for e in job.executions]
@@ -179,6 +186,11 @@
 
     # Requests
 
+    @property
+    def held(self) -> int:
+        """Requests not forgotten: the open ones, and those whose executions outlive them."""
+        return len(self._jobs)
+
     def knows(self, txn: str) -> bool:
         """Whether a request of this id is being worked on."""
         return txn in self._by_txn
@@ -186,7 +198,10 @@
     def submit(self, request: Request, reply: Reply) -> Job:
         """Take a request; `reply` is called exactly once, unless `abandon` comes first."""
         self._count += 1
-        left = max(0, request.remaining - min(MARGIN, request.remaining // MARGIN_SHARE))
+        # Guards everybody else: the module takes the longest time seen for what a class's first tries come
+        # with, so one request that claims to wait for days would make all others look late.
+        remaining = min(request.remaining, self._settings.classes[request.job_class].give_up)
+        left = remaining - min(MARGIN, remaining // MARGIN_SHARE)
         deadline = self._loop.now() + left
         job = Job(self._count, request, reply, deadline)
         self._jobs[job.number] = job
@@ -280,9 +295,8 @@
             or execution.index >= self._settings.max_attempts
             # Guards against two executions of a request at one instance: calls name no execution, so a late
             # word on the earlier one would be taken for the later one's.
-            or not all(e.over and e.mute for e in earlier)
+            or not all(_silent(e) for e in earlier)
         ):
-            execution.mute = True
             self.settle(execution, Outcome.MOOT, None)
             return
         execution.timer = self._loop.call_at(execution.timeout_at, lambda: self._time_out(execution))
@@ -321,7 +335,6 @@
         """Give up at the instance first, then tell the outcome."""
         self._instances.give_up(execution)
         if not execution.written:
-            execution.mute = True
             outcome = Outcome.MOOT  # its last byte never left: it never ran
         self.settle(execution, outcome, None)
 
--- a/pulleyroute/net/instance.py
+++ b/pulleyroute/net/instance.py
@@ -44,11 +44,11 @@
     timeout_at: int
     over: bool = False  # its outcome is known
     started: bool = False
-    mute: bool = False  # its instance has nothing more to say of it: it never ran there
     outcome: Outcome | None = None
     timer: Timer | None = None
     written: bool = field(default=False, init=False)  # the last byte is with the kernel
     accepted: bool = field(default=False, init=False)  # the instance answered 202
+    nacked: bool = field(default=False, init=False)  # the instance answered with a marked nack
     task: Task | None = field(default=None, init=False)
 
 
@@ -159,7 +159,6 @@
                     # Guards the drain rule: the instance left the table while the connection came up.
                     self._keep(execution.instance, stream)
                     stream = None
-                    execution.mute = True
                     self.ended(execution, Outcome.MOOT, None)
                     return
                 left = max(1, (execution.timeout_at - self._loop.now()) // 1000)
@@ -169,12 +168,10 @@
                                    headers, execution.body)
                 yield from stream.send(data, execution.timeout_at)
             except Crowded:
-                execution.mute = True
                 self.ended(execution, Outcome.MOOT, None)
                 return
             except (Broken, Late) as exc:  # the last byte was not written: it never ran
                 logger.warning("instance {}: could not connect: {}", execution.instance.decode(), exc)
-                execution.mute = True
                 self.ended(execution, Outcome.CONNECT_FAILED, None)
                 return
             execution.written = True
@@ -204,7 +201,7 @@
             values = [value for name, value in answer.headers if name == b"x-pressure"]
             report = self.report(values[0]) if values else None
         if answer.status in (503, 504) and marked:
-            execution.mute = True
+            execution.nacked = True
             self.ended(execution, Outcome.FULL, report)
             return
         logger.warning("instance {}: answered {}", execution.instance.decode(), answer.status)
--- a/pulleyroute/net/service_client.py
+++ b/pulleyroute/net/service_client.py
@@ -29,6 +29,7 @@
 EARLY_BYTES = 64 * 1024  # read ahead of an answer at most
 STOP_IDLE = 600_000  # after SIGTERM: connections stop coming, so the idle ones can go
 STOP_QUIET = 700_000  # and no exit before this
+HELD = 2  # requests held for each that may wait: executions go on for a while after their client left
 FULL_RETRY_AFTER = 1_000_000  # advice where there is no room for another request
 LABELS = ("slots", "memory")
 PASSED_ON = (b"idempotency-key", b"content-type", b"x-labels")
@@ -251,8 +252,9 @@
             return (yield from self._tell(stream, 400, str(exc).encode()))
         if self._host.knows(request.txn):
             return (yield from self._tell(stream, 409, b"a request of this id is being worked on"))
-        if self._host.open >= self._most_jobs:
-            # Guards the descriptors that instances' calls need: without those no job would ever end.
+        if self._host.open >= self._most_jobs or self._host.held >= HELD * self._most_jobs:
+            # Guards the descriptors that instances' calls need, without which no job would ever end, and the
+            # memory that clients could fill who leave at once and come again.
             return (yield from self._tell(stream, 503, b"full", [retry_after(FULL_RETRY_AFTER)]))
         return (yield from self._working(connection, request))
 
--- a/tests/net/test_host.py
+++ b/tests/net/test_host.py
@@ -210,6 +210,17 @@
     assert status(client)[0] == 502 and not scene.host.open
 
 
+def test_a_client_that_claims_to_wait_for_days_does_not_make_all_others_late():
+    scene = Scene()
+    first = scene.ask(remaining=10**11)
+    sent(scene)
+    second = scene.ask(txn="t2", remaining=5000)
+    _, (head, _) = sent(scene)
+    assert b"X-Txn: t2" in head
+    scene.loop.skip(5 * SECOND)
+    assert status(first)[0] == status(second)[0] == 502  # at the longest that the class allows
+
+
 def test_a_refusal_of_what_may_have_run_becomes_a_failure():
     scene = Scene()
     client = scene.ask("/charge")
--- a/tests/net/test_service_client.py
+++ b/tests/net/test_service_client.py
@@ -81,6 +81,17 @@
     assert b" 200 " in first.message()[0]
 
 
+def test_clients_that_leave_and_come_again_cannot_fill_the_memory():
+    scene = Scene(most_jobs=1)
+    for n in range(2):
+        client = scene.ask(txn=f"t{n}")
+        scene.runners["s-0"].accept().message()
+        client.close()
+        scene.loop.until(lambda: not scene.host.open)
+    assert scene.host.held == 2  # the executions are still out
+    assert b" 503 " in scene.ask(txn="t9").message()[0]
+
+
 def test_the_longest_idle_connection_makes_room_for_a_new_one():
     scene = Scene(most=2)
     old, new = scene.client(), scene.client()
