Budget by the descriptors that the process may really open; log at DEBUG

A configuration may allow more descriptors than the process's soft limit. The limit is raised where the system lets it, and else the budgets shrink to it, with one line in the log. Executions' ends and probes have lines at DEBUG.

--- a/pulleyroute/__main__.py
+++ b/pulleyroute/__main__.py
@@ -4,6 +4,7 @@
 
 import gc
 import os
+import resource
 import signal
 import socket
 import sys
@@ -33,12 +34,24 @@
     logger.opt(exception=exc).error("{} ended by an exception", name)
 
 
+def descriptors(wanted: int) -> int:
+    """As many as the configuration allows, if the system lets this process have them."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft != resource.RLIM_INFINITY and soft < wanted:
+        soft = wanted if hard == resource.RLIM_INFINITY else min(wanted, hard)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+    if soft != resource.RLIM_INFINITY and soft < wanted:
+        logger.warning("only {} of {} descriptors may be open", soft, wanted)
+        return soft
+    return wanted
+
+
 def build(config: Config, loop: Loop) -> ServiceClient:
     """The parts of a dispatcher, wired and listening."""
     pool = BufferPool()
     epoch = time.time_ns() // 1000 - loop.now()
     names = NameTable(loop, pool, config.discovery, config.settings, epoch)
-    budget = config.sockets - RESERVE
+    budget = descriptors(config.sockets) - RESERVE
     instances = Instances(loop, pool, names, config.settings, int(budget * INSTANCE_SHARE))
     host = Host(loop, config.settings, config.seed, names, instances)
     if config.known is not None:
--- a/pulleyroute/net/host.py
+++ b/pulleyroute/net/host.py
@@ -315,6 +315,8 @@
         if outcome is Outcome.OK and not job.answered:
             self._answer(job, Answer(Ending.SERVED, result))
         took = max(0, self._loop.now() - execution.sent)
+        logger.debug("request {} at {}: {} after {} us", execution.txn, execution.instance.decode(),
+                     outcome.name.lower(), took)
         self.post(api.AttemptEnded(
             job.number, execution.index, execution.instance, outcome, job.answered, took, report))
         self._forget(job)
@@ -362,6 +364,7 @@
     # Probes and time
 
     def _probed(self, instance: WorkerId, outcome: Outcome, took: int, report: api.LoadReport | None) -> None:
+        logger.debug("probe of {}: {} after {} us, {}", instance.decode(), outcome.name.lower(), took, report)
         self.post(api.ProbeEnded(instance, outcome, took, report))
 
     def _set_timer(self, action: api.SetTimer) -> None:
--- a/tests/net/test_main.py
+++ b/tests/net/test_main.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -9,6 +10,8 @@
 import time
 from pathlib import Path
 
+from pulleyroute.__main__ import descriptors
+
 ROOT = Path(__file__).parent.parent.parent
 HOST = "127.77.13.5"  # an address that nothing else uses
 GIVEN_TIME = 60
@@ -62,3 +65,12 @@
         for process in (node, toy):
             process.kill()
             process.wait()
+
+
+def test_the_budget_follows_the_limit_of_the_process(monkeypatch):
+    limits = {"now": (256, 512)}
+    monkeypatch.setattr(resource, "getrlimit", lambda which: limits["now"])
+    monkeypatch.setattr(resource, "setrlimit", lambda which, new: limits.update(now=new))
+    assert descriptors(128) == 128 and limits["now"] == (256, 512)
+    assert descriptors(400) == 400 and limits["now"] == (400, 512)
+    assert descriptors(1024) == 512 and limits["now"] == (512, 512)
