Start the toy server as a module, as the example's page now says

Seen by following examples/README.md by hand: `python examples/toy_server.py` failed with ModuleNotFoundError, as nothing puts the root on the path. The test had set PYTHONPATH and so hid it; it now starts what the page says, from the root, with PYTHONPATH unset. A connection that fails is logged by the system's words ('Connection refused') and not by a number.

--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -1,9 +1,9 @@
 """A toy discovery with two toy instances, to try the dispatcher by hand. Only for that: it keeps no rules.
 
-    python examples/toy_server.py [HOST]
+    python -m examples.toy_server [HOST]
 
-listens on HOST (127.0.0.1 unless named): discovery on port 8500, instances on 9001 and 9002. It stands on
-the package's own loop, so it also shows how a coroutine on it looks.
+from the root, listens on HOST (127.0.0.1 unless named): discovery on port 8500, instances on 9001 and 9002.
+It stands on the package's own loop, so it also shows how a coroutine on it looks.
 """
 
 from __future__ import annotations
--- a/pulleyroute/net/http.py
+++ b/pulleyroute/net/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -261,7 +262,7 @@
                     raise Late from None
                 error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
                 if error:
-                    raise Broken(f"connect: error {error}") from None
+                    raise Broken(os.strerror(error)) from None
                 try:
                     sock.getpeername()
                     break
--- a/tests/net/test_main.py
+++ b/tests/net/test_main.py
@@ -44,10 +44,10 @@
     assert json.loads(text)["listen"] == f"{HOST}:8080"
     path = tmp_path / "config.json"
     path.write_text(text)
-    env = {**os.environ, "PYTHONPATH": str(ROOT)}
-    for name in ("PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY"):
+    env = dict(os.environ)
+    for name in ("PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY", "PYTHONPATH"):
         env.pop(name, None)
-    toy = subprocess.Popen([sys.executable, str(ROOT / "examples" / "toy_server.py"), HOST], env=env,
+    toy = subprocess.Popen([sys.executable, "-m", "examples.toy_server", HOST], cwd=ROOT, env=env,
                            stdout=subprocess.PIPE)
     node = subprocess.Popen([sys.executable, "-m", "pulleyroute"], cwd=ROOT, stderr=subprocess.PIPE,
                             env={**env, "PROXY_CONFIG": str(path)})
