Refuse requests that name the end of their body twice, or fold a header line

Cause: Stream.request in net/http.py took the parser's word. h11 lets chunks win over a length, makes one of repeated equal lengths and unfolds header lines, so that what the length covered was read as the next request. Checked and ruled out: the forwarded request itself is framed anew with one Content-Length, so nothing wrong came from the sending side; unequal, negative, signed and huge lengths were refused before (now in the tests). Change: the raw head is looked at before the parser's reading is used; 400 and the connection ends.

--- a/pulleyroute/net/http.py
+++ b/pulleyroute/net/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import re
 import socket
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -18,6 +19,11 @@
 LINGER = 1_000_000  # how long a connection that ends on an error is read empty
 LINGER_BYTES = 4 * BODY_LIMIT
 
+# The header lines that say where a request's body ends.
+_FRAMING = re.compile(rb"^(?:content-length|transfer-encoding)[ \t]*:([^\r\n]*)", re.I | re.M)
+_FOLDED = re.compile(rb"\n[ \t]")
+_HEAD_END = re.compile(rb"\n\r?\n")
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -70,6 +76,7 @@
         self.closed = False
         self.fresh = True  # not a byte of the next message has come
         self._head_only = False  # the request was HEAD: its answer has no body
+        self._raw = b""  # what the head of the next request was read from
 
     def fileno(self) -> int:
         return self._sock.fileno()
@@ -139,6 +146,8 @@
     def event(self, until: int | None) -> Coroutine[Any]:
         """The parser's next event."""
         while True:
+            if self._h11.our_role is h11.SERVER and self._h11.their_state is h11.IDLE:
+                self._raw = self._h11.trailing_data[0]
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as exc:
@@ -174,6 +183,13 @@
         event = yield from self.event(until)
         if not isinstance(event, h11.Request):
             return None
+        head = _HEAD_END.split(self._raw, 1)[0]
+        self._raw = b""
+        ends = _FRAMING.findall(head)
+        if len(ends) > 1 or any(b"," in end for end in ends) or _FOLDED.search(head):
+            # Guards against a request hidden in another's body: the parser lets chunks win over a length,
+            # makes one of equal lengths and unfolds lines, but the sender may mean another end of the body.
+            raise Malformed(400, "the end of the body is named twice, or a line is folded")
         self._head_only = event.method == b"HEAD"
         message = Message(list(event.headers), b"", event.method, event.target)
         size = len(event.target) + sum(len(name) + len(value) + 4 for name, value in event.headers)
--- a/tests/net/test_service_client.py
+++ b/tests/net/test_service_client.py
@@ -34,6 +34,14 @@
     (GOOD.replace(b"Length: 0", b"Length: 65537"), 413, True),
     (GOOD.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked") + b"10001\r\n" + b"x" * 65537,
      413, True),
+    (GOOD.replace(b"Length: 0", b"Length: 5\r\nTransfer-Encoding: chunked") + b"0\r\n\r\n" + GOOD, 400, True),
+    (GOOD.replace(b"Length: 0", b"Length: 0\r\ntransfer-encoding:\r\n chunked") + b"0\r\n\r\n", 400, True),
+    (GOOD.replace(b"Length: 0", b"Length: 0\ncontent-length: 0"), 400, True),
+    (GOOD.replace(b"Length: 0", b"Length: +1") + b"x", 400, True),
+    (GOOD.replace(b"Length: 0", b"Length: 1, 1") + b"x", 400, True),
+    (GOOD.replace(b"Length: 0", b"Length: -5"), 400, True),
+    (GOOD.replace(b"Length: 0", b"Length: 99999999999999999999999"), 400, True),
+    (GOOD.replace(b"Content-Length: 0", b"Transfer-Encoding: gzip"), 501, True),
     (GOOD.replace(b"Host: x", b"Host: x\r\nX-Big: " + b"x" * 20000), 431, True),
 ])
 def test_bad_input_is_named_and_framing_errors_end_the_connection(data, answer, closes):
