Read the configuration again on SIGHUP and move to the discovery it names

Cause: __main__.main handled SIGTERM and SIGINT alone; NameTable was bound to one address for good. Checked: PROXY_DISCOVERY is set by the platform and names the old address, so at a reload the file goes before it. A watch from a version of the old address could leave out most of the list, so the whole list comes first. Change: reload in __main__, NameTable.move, Instances.allow and ServiceClient.allow. A file that can't be used is one log line.

--- a/pulleyroute/__main__.py
+++ b/pulleyroute/__main__.py
@@ -1,4 +1,7 @@
-"""The real dispatcher: reads its configuration, sets up the parts, serves until SIGTERM."""
+"""The real dispatcher: reads its configuration, sets up the parts, serves until SIGTERM.
+
+SIGHUP reads the configuration again.
+"""
 
 from __future__ import annotations
 
@@ -9,6 +12,7 @@
 import socket
 import sys
 import time
+from dataclasses import dataclass
 
 from loguru import logger
 
@@ -46,7 +50,17 @@
     return wanted
 
 
-def build(config: Config, loop: Loop) -> ServiceClient:
+@dataclass(slots=True)
+class Parts:
+    """A dispatcher's parts that a signal concerns."""
+
+    config: Config
+    names: NameTable
+    instances: Instances
+    clients: ServiceClient
+
+
+def build(config: Config, loop: Loop) -> Parts:
     """The parts of a dispatcher, wired and listening."""
     pool = BufferPool()
     epoch = time.time_ns() // 1000 - loop.now()
@@ -65,36 +79,62 @@
         clients.listen(config.listen)
     except OSError as exc:
         raise ConfigError(f"cannot listen on {config.listen[0]}:{config.listen[1]}: {exc.strerror}") from None
-    return clients
+    return Parts(config, names, instances, clients)
 
 
-def waiting_for_signal(source: socket.socket, clients: ServiceClient) -> Coroutine[None]:
+def reload(parts: Parts) -> None:
+    """SIGHUP: move to what the file says now. Jobs, connections and the listed instances stay."""
+    try:
+        config = load_config(os.environ, reload=True)
+    except ConfigError as exc:
+        # Guards the service against a file that can't be used: what is in force goes on.
+        logger.error("configuration not read again: {}", exc)
+        return
+    old = parts.config
+    logger.info("configuration read again: discovery {}:{}, limits.sockets {}",
+                *config.discovery, config.sockets)
+    for name in ("name", "listen", "settings"):
+        if getattr(config, name) != getattr(old, name):
+            logger.warning("a change of {} needs a restart", name)
+    if config.sockets != old.sockets:
+        budget = descriptors(config.sockets) - RESERVE
+        parts.instances.allow(int(budget * INSTANCE_SHARE))
+        parts.clients.allow(int(budget * CLIENT_SHARE), int(budget * JOB_SHARE))
+    parts.names.move(config.discovery)
+    old.discovery, old.sockets = config.discovery, config.sockets
+
+
+def heeding(source: socket.socket, parts: Parts) -> Coroutine[None]:
+    """What the signals ask for; several that come at once count as one."""
     while True:
         yield Wait(source.fileno(), READABLE)
         try:
-            source.recv(64)
+            numbers = source.recv(1024)
         except BlockingIOError:
             continue
-        logger.info("asked to stop")
-        clients.stop()
+        if signal.SIGHUP in numbers:
+            reload(parts)
+        if signal.SIGTERM in numbers or signal.SIGINT in numbers:
+            logger.info("asked to stop")
+            parts.clients.stop()
 
 
 def main() -> int:
     log.set_up(os.environ.get("PULLEYROUTE_LOG", "INFO"))
+    source, sink = socket.socketpair()
+    for end in (source, sink):
+        end.setblocking(False)
+    signal.set_wakeup_fd(sink.fileno(), warn_on_full_buffer=False)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: None)  # the loop hears of it through the descriptor
     loop = Loop(on_error)
     try:
         config = load_config(os.environ)
-        clients = build(config, loop)
+        parts = build(config, loop)
     except ConfigError as exc:
         print(f"pulleyroute: {exc}", file=sys.stderr)
         return 2
-    source, sink = socket.socketpair()
-    for end in (source, sink):
-        end.setblocking(False)
-    signal.set_wakeup_fd(sink.fileno(), warn_on_full_buffer=False)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: None)  # the loop hears of it through the descriptor
-    loop.spawn(waiting_for_signal(source, clients), "signals")
+    loop.spawn(heeding(source, parts), "signals")
     gc.freeze()
     logger.info("pulleyroute {} as {} on {}:{}", __version__, config.name, *config.listen)
     loop.run()
--- a/pulleyroute/net/config.py
+++ b/pulleyroute/net/config.py
@@ -1,4 +1,4 @@
-"""What the dispatcher is told at its start: config.json and the PROXY_* variables."""
+"""What the dispatcher is told, at its start and at each reload: config.json and the PROXY_* variables."""
 
 from __future__ import annotations
 
@@ -31,8 +31,11 @@
     settings: Settings
 
 
-def load_config(environ: Mapping[str, str]) -> Config:
-    """Read the file that PROXY_CONFIG names; the other variables go before what it says."""
+def load_config(environ: Mapping[str, str], reload: bool = False) -> Config:
+    """Read the file that PROXY_CONFIG names; the other variables go before what it says.
+
+    At a reload the file's `discovery` goes before the variable, which can't change while the program runs.
+    """
     path = environ.get("PROXY_CONFIG")
     if not path:
         raise ConfigError("PROXY_CONFIG is not set: it names the configuration file")
@@ -44,13 +47,15 @@
         raise ConfigError(f"{path}: not JSON: {exc}") from None
     if not isinstance(data, dict):
         raise ConfigError(f"{path}: not a JSON object")
+    sources = [environ.get("PROXY_DISCOVERY"), data.get("discovery")]
+    if reload:
+        sources.reverse()
     try:
         settings, _ = read_settings(data.get("settings"))
         return Config(
             name=_text(environ.get("PROXY_NAME") or data.get("name"), "name"),
             listen=parse_address(_text(environ.get("PROXY_LISTEN") or data.get("listen"), "listen")),
-            discovery=parse_address(
-                _text(environ.get("PROXY_DISCOVERY") or data.get("discovery"), "discovery")),
+            discovery=parse_address(_text(sources[0] or sources[1], "discovery")),
             seed=_seed(data.get("seed", 0)),
             sockets=_sockets(data.get("limits")),
             known=data.get("known"),
--- a/pulleyroute/net/instance.py
+++ b/pulleyroute/net/instance.py
@@ -74,6 +74,10 @@
         self.ended: Ended = lambda execution, outcome, report: None
         self.probed: Probed = lambda instance, outcome, took, report: None
 
+    def allow(self, most: int) -> None:
+        """Another budget of connections from now on."""
+        self._most = most
+
     # Connections
 
     def _open(self, instance: WorkerId) -> Coroutine[Stream]:
--- a/pulleyroute/net/name_table.py
+++ b/pulleyroute/net/name_table.py
@@ -4,6 +4,7 @@
 
 import json
 import math
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -14,14 +15,17 @@
 from pulleyroute.interface import Entry, ListKind, Settings, WorkerId, WorkerList, WorkerState
 from pulleyroute.net.buffers import BufferPool
 from pulleyroute.net.http import Broken, Crowded, Late, Malformed, Stream, connect, parse_address
-from pulleyroute.net.loop import Coroutine, Loop, Task
+from pulleyroute.net.loop import Coroutine, Loop, Task, Wait
 
 PATH = b"/api/targets"
 CONNECT_TIME = 1_000_000
 FETCH_TIME = 3_000_000  # discovery works through its calls in turn
 SILENCE = 4_000_000  # a watch says something every 2 s; this long without a line and it is broken
+MOVE_TIME = 4_000_000  # after a move, calls that fail are tried again for so long before the module is told
+MOVE_PAUSE = 500_000  # the longest pause between two of them
 LINE_LIMIT = 1024 * 1024
 
+_FAILURES = (Broken, Crowded, Late, Malformed, ValueError, RecursionError)
 _PHASES = {"active": WorkerState.READY, "leaving": WorkerState.DRAINING, "left": WorkerState.GONE}
 
 
@@ -42,12 +46,13 @@
         self._loop = loop
         self._pool = pool
         self._discovery = discovery
-        self._host = f"{discovery[0]}:{discovery[1]}".encode()
         self._zones = {name: i for i, name in enumerate(settings.zones)}
         self._kinds = {name: i for i, name in enumerate(settings.kinds)}
         self._epoch = epoch  # Unix time, in microseconds, when the loop's clock was at 0
         self._members: dict[WorkerId, Member] = {}  # with those that left: an instance stays known
         self._version = 0
+        self._moved = False  # since the whole list was last told: the version is of another address
+        self._patient_until = 0  # a failure before this is not told but tried again
         self._watch: Task | None = None
         self.tell: Callable[[WorkerList], None] = lambda news: None
 
@@ -75,6 +80,15 @@
             self._watch = Task(self._loop, self._watching(), "watch")
             self._watch.start()
 
+    def move(self, discovery: tuple[str, int]) -> None:
+        """Discovery is at another address now: take the whole list there, then watch it."""
+        if discovery == self._discovery:
+            return
+        self._discovery = discovery
+        self._moved = True
+        self._patient_until = self._loop.now() + MOVE_TIME
+        self.watch(True)
+
     def fetch(self) -> None:
         """Ask for the whole list once."""
         self._loop.spawn(self._fetching(), "fetch")
@@ -87,37 +101,65 @@
         until = self._loop.now() + CONNECT_TIME
         stream = yield from connect(self._loop, self._pool, self._discovery, until)
         try:
-            head = h11.Request(method=b"GET", target=target, headers=[(b"Host", self._host)])
+            host = "{}:{}".format(*self._discovery).encode()
+            head = h11.Request(method=b"GET", target=target, headers=[(b"Host", host)])
             yield from stream.send(stream.frame(head, b""), until)
         except BaseException:
             stream.close()
             raise
         return stream
 
-    def _fetching(self) -> Coroutine[None]:
-        stream = None
+    def _whole(self) -> Coroutine[WorkerList]:
+        """Ask for the whole list and take it."""
+        asked = self._discovery
+        stream = yield from self._call(PATH)
         try:
-            stream = yield from self._call(PATH)
             answer = yield from stream.response(self._loop.now() + FETCH_TIME, LINE_LIMIT)
             if answer.status != 200:
                 raise Broken(f"status {answer.status}")
-            news = self._take(json.loads(answer.body), cached=False)
-        except (Broken, Crowded, Late, Malformed, ValueError, RecursionError) as exc:
+            if asked != self._discovery:
+                # Guards against an old address's word: its list and version mean nothing at the new one.
+                raise Broken("discovery has moved")
+            return self._take(json.loads(answer.body), cached=False)
+        finally:
+            stream.close()
+
+    def _fetching(self) -> Coroutine[None]:
+        try:
+            news = yield from self._whole()
+        except _FAILURES as exc:
             self._failed("fetch", str(exc) or "no answer in time")
             return
-        finally:
-            if stream is not None:
-                stream.close()
         self.tell(news)
 
     def _watching(self) -> Coroutine[None]:
-        stream = None
+        while True:
+            try:
+                if self._moved:
+                    # Guards against versions that mean nothing here: changes since one might leave out most.
+                    news = yield from self._whole()
+                    self._moved = False
+                    self.tell(news)
+                yield from self._following()
+            except _FAILURES as exc:
+                why = str(exc) or "no line in time"
+                if self._loop.now() < self._patient_until:
+                    # Guards the time limit after a move, which the module's longer pauses would pass.
+                    logger.info("name table: {}:{} failed: {}", *self._discovery, why)
+                    yield Wait(until=self._loop.now() + int(random.random() * MOVE_PAUSE))
+                    continue
+                self._watch = None
+                self._failed("watch", why)
+                return
+
+    def _following(self) -> Coroutine[None]:
+        """Tell of changes until the watch breaks."""
+        stream = yield from self._call(b"%s?watch=1&from=%d" % (PATH, self._version))
         try:
-            stream = yield from self._call(b"%s?watch=1&from=%d" % (PATH, self._version))
             answer = yield from stream.answer_head(self._loop.now() + SILENCE)
             if answer.status != 200:
                 raise Broken(f"status {answer.status}")
-            logger.info("name table: watching from version {}", self._version)
+            logger.info("name table: watching {}:{} from version {}", *self._discovery, self._version)
             rest = b""
             while True:
                 # Guards against a discovery that went silent: no line for over 4 s is a broken watch.
@@ -130,12 +172,8 @@
                 for line in lines:
                     if line.strip():
                         self.tell(self._take(json.loads(line), cached=False))
-        except (Broken, Crowded, Late, Malformed, ValueError, RecursionError) as exc:
-            self._watch = None
-            self._failed("watch", str(exc) or "no line in time")
         finally:
-            if stream is not None:
-                stream.close()
+            stream.close()
 
     # The list
 
--- a/pulleyroute/net/service_client.py
+++ b/pulleyroute/net/service_client.py
@@ -88,6 +88,10 @@
         host, port = self._listener.getsockname()
         return host, port
 
+    def allow(self, most: int, most_jobs: int) -> None:
+        """Other budgets from now on."""
+        self._most, self._most_jobs = most, most_jobs
+
     # Stopping
 
     def stop(self) -> None:
--- a/tests/net/test_main.py
+++ b/tests/net/test_main.py
@@ -31,6 +31,16 @@
     return exchange(b"GET %s HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n" % path)
 
 
+def until_line(node, mark):
+    """What the program logs up to the line with this in it."""
+    lines = b""
+    while mark not in lines:
+        line = node.stderr.readline()
+        assert line, "it ended"
+        lines += line
+    return lines
+
+
 def until(condition):
     end = time.monotonic() + GIVEN_TIME
     while not (value := condition()):
@@ -42,7 +52,7 @@
 def test_the_example_serves_and_sigterm_ends_it_cleanly(tmp_path):
     text = (ROOT / "examples" / "config.json").read_text().replace("127.0.0.1", HOST)
     assert json.loads(text)["listen"] == f"{HOST}:8080"
-    path = tmp_path / "config.json"
+    path, old = tmp_path / "config.json", json.loads(text)["discovery"]
     path.write_text(text)
     env = dict(os.environ)
     for name in ("PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY", "PYTHONPATH"):
@@ -50,13 +60,28 @@
     toy = subprocess.Popen([sys.executable, "-m", "examples.toy_server", HOST], cwd=ROOT, env=env,
                            stdout=subprocess.PIPE)
     node = subprocess.Popen([sys.executable, "-m", "pulleyroute"], cwd=ROOT, stderr=subprocess.PIPE,
-                            env={**env, "PROXY_CONFIG": str(path)})
+                            env={**env, "PROXY_CONFIG": str(path), "PROXY_DISCOVERY": old})
     try:
         assert [toy.stdout.readline() for _ in range(3)][-1].startswith(b"s-two listens")
         until(lambda: (get(b"/-/ready") or b"").startswith(b"HTTP/1.1 200 "))
         answer = exchange(b"POST /balance-check HTTP/1.1\r\nHost: x\r\nX-Txn: t1\r\nX-Remaining-Ms: 60000\r\n"
                           b"Content-Length: 5\r\nConnection: close\r\n\r\nhello")
         assert answer.startswith(b"HTTP/1.1 200 ") and answer.endswith(b" did hello")
+        # A reload: a file that can't be used changes nothing; a good one moves it to the new discovery,
+        # though the variable names the old one.
+        path.write_text("{")
+        node.send_signal(signal.SIGHUP)
+        log = until_line(node, b"configuration not read again")
+        with socket.create_server((HOST, 0)) as discovery:
+            discovery.settimeout(GIVEN_TIME)
+            address = "{}:{}".format(*discovery.getsockname())
+            path.write_text(json.dumps(json.loads(text) | {"discovery": address, "name": "other"}))
+            node.send_signal(signal.SIGHUP)
+            with discovery.accept()[0] as call:
+                assert call.recv(65536).startswith(b"GET /api/targets HTTP")
+            log += until_line(node, b"a change of name needs a restart")
+            assert b"configuration read again: discovery %s:" % HOST.encode() in log
+        assert get(b"/-/ready").startswith(b"HTTP/1.1 200 ")
         node.send_signal(signal.SIGTERM)
         until(lambda: not (get(b"/-/ready") or b"").startswith(b"HTTP/1.1 200 "))
         assert node.wait(GIVEN_TIME) == 0
--- a/tests/net/test_name_table.py
+++ b/tests/net/test_name_table.py
@@ -12,7 +12,7 @@
 
 from pulleyroute.interface import ListKind, Subscribe, WorkerState
 from pulleyroute.net.config import ConfigError, load_config
-from tests.net.scene import INFO, SECOND, Scene
+from tests.net.scene import INFO, SECOND, Listener, Scene
 
 CHUNKS = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
@@ -97,6 +97,52 @@
     assert (news[0].version, news[0].kind) == (7, ListKind.FULL) and not scene.names.active(b"s-0")
 
 
+def test_a_move_takes_the_whole_list_at_the_new_address_and_tries_again_in_time():
+    # Guards a reload: versions of the old address may mean nothing at the new one, its end is no failure, and
+    # the module's pauses after a failure are longer than a move may take.
+    scene = Scene(instances=2)
+    news = told(scene)
+    scene.names.watch(True)
+    old, new = scene.discovery.accept(), Listener(scene.loop)
+    old.message()
+    old.send(CHUNKS)
+    scene.names.move(new.address)
+    first = new.accept()
+    assert first.message()[0].startswith(b"GET /api/targets HTTP")
+    first.send(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+    old.close()
+    scene.loop.settle()
+    scene.loop.skip(SECOND)
+    second = new.accept()
+    assert second.message()[0].startswith(b"GET /api/targets HTTP")
+    body = json.dumps(scene.table("s-1", revision=1)).encode()
+    second.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+    watch = new.accept()
+    assert b"?watch=1&from=1 " in watch.message()[0]
+    assert [n.kind for n in news] == [ListKind.FULL] and scene.names.active(b"s-1")
+    assert not scene.names.active(b"s-0") and scene.names.member(b"s-0") is not None
+    scene.names.move(new.address)  # already there
+    assert new.untouched()
+    scene.names.move(scene.discovery.address)
+    scene.discovery.sock.close()
+    scene.loop.settle()
+    scene.loop.skip(6 * SECOND)
+    assert [n.kind for n in news] == [ListKind.FULL, ListKind.FAILED]  # now the module paces the calls
+
+
+def test_a_list_asked_for_before_a_move_is_not_taken():
+    scene = Scene(instances=2)
+    news = told(scene)
+    scene.names.fetch()
+    peer = scene.discovery.accept()
+    peer.message()
+    scene.names.move(Listener(scene.loop).address)
+    body = json.dumps(scene.table("s-1", revision=9)).encode()
+    peer.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+    scene.loop.until(lambda: news)
+    assert [n.kind for n in news] == [ListKind.FAILED] and scene.names.active(b"s-0")
+
+
 def test_start_times_are_converted_to_the_clock_of_the_module():
     scene = Scene()
     scene.names._epoch = 5_000 * SECOND
@@ -145,5 +191,8 @@
     path.write_text(json.dumps({**CONFIG, "listen": "127.0.0.1:8080", "limits": {"sockets": 512}}))
     config = load_config({"PROXY_CONFIG": str(path), "PROXY_NAME": "m", "PROXY_LISTEN": "127.0.0.2:81"})
     assert (config.name, config.listen, config.seed, config.sockets) == ("m", ("127.0.0.2", 81), 255, 512)
+    at_start = load_config({"PROXY_CONFIG": str(path), "PROXY_DISCOVERY": "127.0.0.3:5"})
+    again = load_config({"PROXY_CONFIG": str(path), "PROXY_DISCOVERY": "127.0.0.3:5"}, reload=True)
+    assert (at_start.discovery, again.discovery) == (("127.0.0.3", 5), ("127.0.0.1", 9))
     with pytest.raises(ConfigError, match="PROXY_CONFIG"):
         load_config({})
