Serve kept connections on after SIGTERM for half of the time until SIGKILL

The logs show n1 and n0 asked to stop 3.0 s apart and each back 4.6 s after its stop, so that both were away for 1.6 s. Cause: ServiceClient.stop closed idle connections after 0.6 s and _tell closed all others with their answer. Checked: leaving early does not bring a dispatcher back earlier (left after 2.2 s, back after 4.6 s). Change: connections are kept for half of the time until SIGKILL (1.85 s); what comes late is answered 150 ms before SIGKILL at the latest, so none of it is lost. The module still hears the client's own time, as a shorter one would make a first try look like a late second.

--- a/pulleyroute/net/host.py
+++ b/pulleyroute/net/host.py
@@ -60,6 +60,7 @@
     memory: float = 0.0
     key: int = 0
     is_repeat: bool = False
+    answer_by: int | None = None  # the clock's time, where this process will not be there for longer
 
 
 class State(Enum):
@@ -207,7 +208,8 @@
         self._jobs[job.number] = job
         self._by_txn[request.txn] = job
         self.open += 1
-        job.guard = self._loop.call_at(deadline + GUARD, lambda: self._overdue(job))
+        guard = deadline + GUARD if request.answer_by is None else min(deadline + GUARD, request.answer_by)
+        job.guard = self._loop.call_at(guard, lambda: self._overdue(job))
         self.post(api.JobArrived(
             job.number, request.job_class, left, request.slots, request.memory, key=request.key,
             is_repeat=request.is_repeat,
@@ -247,8 +249,11 @@
         job.guard = None
         if job.answered:
             return
-        logger.error("request {} had no answer from the module at its deadline", job.request.txn)
-        self._answer(job, Answer(Ending.FAILED))
+        if self._loop.now() < job.deadline:  # this process ends before
+            self._answer(job, Answer(Ending.FAILED if self._harmful(job) else Ending.REFUSED))
+        else:
+            logger.error("request {} had no answer from the module at its deadline", job.request.txn)
+            self._answer(job, Answer(Ending.FAILED))
         self.post(api.JobExpired(job.number))
 
     def _refuse(self, action: api.Refuse) -> None:
--- a/pulleyroute/net/service_client.py
+++ b/pulleyroute/net/service_client.py
@@ -27,8 +27,10 @@
 ACCEPT_PAUSE = 20_000  # after running out of descriptors
 ACCEPTS_A_TURN = 64
 EARLY_BYTES = 64 * 1024  # read ahead of an answer at most
-STOP_IDLE = 600_000  # after SIGTERM: connections stop coming, so the idle ones can go
-STOP_QUIET = 700_000  # and no exit before this
+STOP_QUIET = 700_000  # after SIGTERM: connections stop coming, and no exit before this
+STOP_LONGEST = 3_000_000  # SIGKILL comes that much later, or the longest give-up time where that is shorter
+STOP_CLOSE = 0.5  # the kept connections end when this share of the time until SIGKILL is over
+STOP_MARGIN = 150_000  # and so long before it all that came late is answered
 HELD = 2  # requests held for each that may wait: executions go on for a while after their client left
 FULL_RETRY_AFTER = 1_000_000  # advice where there is no room for another request
 LABELS = ("slots", "memory")
@@ -67,7 +69,10 @@
         self._listener: socket.socket | None = None
         self._acceptor: Task | None = None
         self._stopping = False
-        self._quiet = False  # after SIGTERM: nothing new is expected
+        self._closing = False  # after SIGTERM: no connection is kept any more
+        self._quiet = False  # after SIGTERM: no new connection is expected
+        self._late_from = 0  # after SIGTERM: what comes from here on must be answered by `_late_until`
+        self._late_until = 0
 
     def listen(self, address: tuple[str, int]) -> None:
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
@@ -95,18 +100,24 @@
     # Stopping
 
     def stop(self) -> None:
-        """SIGTERM: keep serving, end each connection with its answer, and leave once all is answered."""
+        """SIGTERM: keep serving, end the connections in good time, and leave once all is answered."""
         if self._stopping:
             return
         self._stopping = True
         now = self._loop.now()
-        self._loop.call_at(now + STOP_IDLE, self._close_idle)
+        kill = now + STOP_QUIET + min(STOP_LONGEST, max(cls.give_up for cls in self._settings.classes))
+        self._late_from, self._late_until = now + STOP_QUIET - STOP_MARGIN, kill - STOP_MARGIN
+        # Guards the clients whose dispatchers restart one after another: closed at once, they would find none
+        # while two are away; closed late, they have no time to find the next one before it goes too.
+        self._loop.call_at(max(now + STOP_QUIET, now + int((kill - now) * STOP_CLOSE)), self._close_idle)
         self._loop.call_at(now + STOP_QUIET, self._now_quiet)
 
     def _close_idle(self) -> None:
+        self._closing = True
         for connection in list(self._idle):
             if connection.task is not None:
                 connection.task.nudge()
+        self._leave()
 
     def _now_quiet(self) -> None:
         self._quiet = True
@@ -114,13 +125,10 @@
 
     def _leave(self) -> None:
         """Stop the loop once nothing is owed any more."""
-        if self._quiet and not self._host.open and not self._busy():
+        if self._quiet and not self._host.open and not self._connections:
             logger.info("all is answered, leaving")
             self._loop.stop()
 
-    def _busy(self) -> bool:
-        return len(self._connections) > len(self._idle)
-
     # Accepting
 
     def _accepting(self, listener: socket.socket) -> Coroutine[None]:
@@ -225,7 +233,7 @@
         kind = [(b"Content-Type", b"text/plain; charset=utf-8")] if body else []
         headers = [*kind, *(headers or [])]
         until = self._loop.now() + WRITE_TIME
-        return (yield from stream.answer(status, body, headers, close or self._stopping, until))
+        return (yield from stream.answer(status, body, headers, close or self._closing, until))
 
     def _route(self, connection: Connection, message: Message) -> Coroutine[bool]:
         stream = connection.stream
@@ -260,6 +268,11 @@
             # Guards the descriptors that instances' calls need, without which no job would ever end, and the
             # memory that clients could fill who leave at once and come again.
             return (yield from self._tell(stream, 503, b"full", [retry_after(FULL_RETRY_AFTER)]))
+        if self._stopping and self._loop.now() >= self._late_from:
+            if self._loop.now() >= self._late_until:
+                return (yield from self._tell(stream, 503, b"stopping", close=True))
+            # Guards what comes late against SIGKILL: it gets an answer before that, whatever becomes of it.
+            request.answer_by = self._late_until
         return (yield from self._working(connection, request))
 
     def _working(self, connection: Connection, request: Request) -> Coroutine[bool]:
