Move jobs that do not start to a worker with room, and lower the draw's floor

Cause: Dispatcher.place gave each push the job's whole time, and check() heeds progress notes alone, which this site does not have. FLOOR 0.02 beside abroad 1/81: a full instance at home drew like one abroad with 2 free slots. Checked and ruled out: instances excluded wrongly (holds only on those that had reset), reports older than 2 s (none among them), own pushes not counted (net and held agree with the executions out). Change: rules.py expects a start; a job that may be repeated is called off and resubmitted by the ordinary jittered path if another worker is known to have room.

--- a/pulleyroute/rules.py
+++ b/pulleyroute/rules.py
@@ -15,7 +15,7 @@
 from pulleyroute.interface import Effect, Outcome, Scope
 
 # The floor of the draw, in free slots: small beside one, so that full workers draw little while any is free.
-FLOOR = 0.02
+FLOOR = 0.002
 # Full Jitter: the first sleep is at most this share of the class's aim, and no sleep is longer than the aim,
 # since a job that slept its whole aim away is late wherever it goes.
 BASE_OF_AIM = 1 / 8
@@ -38,6 +38,12 @@
 YIELD = 0.5
 # Weight of the newest sample in running means.
 BLEND = 0.1
+# A push may stay unstarted for this share of the class's aim, and for so many of the shortest times in which
+# a job has started there, before the job is moved to a worker with room: the way takes its time too.
+START_OF_AIM = 0.3
+START_TRIPS = 3
+# Free slots, as estimated, from which on a worker has room for a job that is moved.
+ROOM = 0.5
 # Probes sent for each job taken.
 PROBES_PER_JOB = 1.0
 
@@ -105,8 +111,8 @@
     __slots__ = (
         "asked", "audience", "blame", "blamed_at", "budget", "budget_at", "cell", "deep", "deltas",
         "down_until", "free", "heard", "held", "holds", "id", "idle", "kind", "longest", "memory",
-        "most", "net", "others", "out", "own", "rank", "ready", "report_at", "shut", "signature", "started",
-        "unstarted", "wait", "wait_at", "zone",
+        "most", "mute", "net", "others", "out", "own", "prompt", "rank", "ready", "report_at", "shut",
+        "signature", "started", "unstarted", "wait", "wait_at", "zone",
     )
 
     def __init__(self, entry: api.Entry) -> None:
@@ -140,6 +146,8 @@
         self.signature: api.LoadReport | None = None
         self.blame = 0.0
         self.blamed_at = self.down_until = 0
+        self.mute = 0  # jobs in a row that were moved away as they did not start
+        self.prompt: int | None = None  # the shortest time in which a job has started there
         self.shut = 0  # jobs in a row that it turned away though it showed room
         self.holds = 0  # times in a row that it was found down
         self.heard = self.wait = 0  # the wait of a job that started, or was turned away, at `wait_at`
@@ -166,6 +174,7 @@
         self.moved = False  # whether one was found down or back since those near were chosen
         self.near: list[Worker] = []  # those of them that it keeps to
         self.sleeping: dict[int, Job] = {}
+        self.unsure: dict[int, Attempt] = {}  # by timer: attempts that should have started by then
         self.token = TICK
         self.todo: list[api.Action] = []
         self.patience = min(c.give_up for c in settings.classes)
@@ -238,6 +247,36 @@
         if worker.idle:
             worker.idle.pop()
         self.todo.append(api.Push(job.id, worker.id, job.deadline))
+        self.expect_start(attempt)
+
+    def expect_start(self, attempt: Attempt) -> None:
+        """Look again at a push that may be repeated when it should have started."""
+        job, s = attempt.job, self.settings
+        if s.tells_start and s.cancels and job.cls.effect is not Effect.UNSAFE and (
+                len(job.attempts) < s.max_attempts):
+            trip = attempt.worker.prompt
+            trips = self.running * BLEND if trip is None else START_TRIPS * trip
+            self.token += 1
+            self.unsure[self.token] = attempt
+            self.todo.append(api.SetTimer(int(START_OF_AIM * job.cls.aim + trips), self.token))
+
+    def reconsider(self, attempt: Attempt) -> None:
+        """Guards a short job against a queue that no report showed, and against a silent worker."""
+        job, worker = attempt.job, attempt.worker
+        if attempt.over or attempt.started or job.ended or self.now >= job.useful_until:
+            return
+        tried = [a.worker for a in job.attempts]
+        if not any(w.free is not None and self.room(w, job) > ROOM and self.weight(w, job) > 0
+                   for w in self.eligible(job) if w not in tried):
+            self.expect_start(attempt)  # its place in the queue is as good as any
+            return
+        self.todo.append(api.Cancel(job.id, attempt.index))
+        # Guards against the next report, which may show room again: what does not start is not free.
+        self.waited(worker, self.now - attempt.sent)
+        worker.free = min(0.0, worker.free or 0.0)
+        worker.mute += 1
+        if worker.mute > 1:
+            worker.down_until = self.now + min(self.patience, self.tick * (worker.mute - 1))
 
     def density(self, cls: api.JobClass) -> float:
         """Worth for each microsecond of running."""
@@ -250,9 +289,21 @@
 
     def draw(self, job: Job) -> Worker | None:
         """The draw: free slots net of own pushes since, with a floor, times what the exceptions say."""
+        among = self.eligible(job)
+        avoid = [a.worker for a in job.attempts]
+        while True:
+            weights = [0.0 if w in avoid else self.weight(w, job) for w in among]
+            if sum(weights) > 0:
+                return self.rng.choices(among, weights)[0]
+            if not avoid:
+                return None
+            avoid = []  # all others are out of the question: one that turned it away may have room by now
+
+    def eligible(self, job: Job) -> list[Worker]:
+        """The workers that may be pushed the job."""
         cls, bound = job.cls, self.bound(job)
         if bound is not None and self.now >= bound.sent + cls.repeat_window:
-            return None
+            return []
         among = self.near if bound is None and cls.kind < 0 else self.ready
         if cls.kind >= 0:
             among = [w for w in among if w.kind == cls.kind]
@@ -260,21 +311,11 @@
             among = [w for w in among if w.zone == bound.worker.zone]
         elif bound is not None and cls.scope is Scope.CELL:
             among = [w for w in among if w.cell == bound.worker.cell]
-        avoid = [a.worker for a in job.attempts]
-        while True:
-            weights = [0.0 if w in avoid else self.weight(w, job) for w in among]
-            if sum(weights) > 0:
-                return self.rng.choices(among, weights)[0]
-            if not avoid:
-                return None
-            avoid = []  # all others are out of the question: one that turned it away may have room by now
+        return among
 
-    def weight(self, worker: Worker, job: Job) -> float:
-        """Free slots net of own pushes since, and the exceptions."""
+    def room(self, worker: Worker, job: Job) -> float:
+        """Its free slots for the job, as far as can be told; negative where jobs wait."""
         now = self.now
-        if worker.down_until > now or (worker.holds and worker.out):
-            # Guards against a dead worker's last reading: it shows more free slots than the full ones alive.
-            return 0.0
         free = worker.free
         if free is None:
             free = 1.0 - worker.net
@@ -296,6 +337,15 @@
                 free = min(free, 1.0 - len(worker.unstarted))
         if job.memory and worker.memory is not None and job.memory > worker.memory:
             free = min(free, 0.0)
+        return free
+
+    def weight(self, worker: Worker, job: Job) -> float:
+        """Free slots net of own pushes since, and the exceptions."""
+        now = self.now
+        if worker.down_until > now or (worker.holds and worker.out):
+            # Guards against a dead worker's last reading: it shows more free slots than the full ones alive.
+            return 0.0
+        free = self.room(worker, job)
         if free > FLOOR:
             weight = free if worker.free is not None else FLOOR  # until it reports
         else:
@@ -439,17 +489,19 @@
         worker.heard = self.now
         self.moved = self.moved or worker.holds > 1
         worker.holds = 0
-        if not worker.shut:
+        if not worker.shut and not worker.mute:
             worker.down_until = 0
 
     def on_started(self, event: api.AttemptStarted) -> None:
         attempt = self.find(event.job, event.attempt)
         if attempt is not None:
-            attempt.worker.shut = 0
-            self.waited(attempt.worker, self.now - attempt.sent)
+            worker, took = attempt.worker, self.now - attempt.sent
+            worker.shut = worker.mute = 0
+            worker.prompt = took if worker.prompt is None else min(worker.prompt, took)
+            self.waited(worker, took)
             if attempt.modelled:
                 self.waits_modelled += BLEND * (attempt.modelled - self.waits_modelled)
-                self.waits_seen += BLEND * (self.now - attempt.sent - self.waits_seen)
+                self.waits_seen += BLEND * (took - self.waits_seen)
             self.on_progress(event)
 
     def waited(self, worker: Worker, wait: int) -> None:
@@ -664,6 +716,9 @@
             job = self.sleeping.pop(event.token, None)
             if job is not None and not job.ended:
                 self.place(job)
+            attempt = self.unsure.pop(event.token, None)
+            if attempt is not None:
+                self.reconsider(attempt)
             return
         self.todo.append(api.SetTimer(self.tick, TICK))
         for (peer, name), (slots, at) in list(self.told.items()):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -478,3 +478,46 @@
         job, _ = bench.job()
         bench.run(20 * SECOND)
         assert of(Refuse, bench.log) == [Refuse(job, advice)]
+
+
+def reported(bench, **free):
+    for name, slots in free.items():
+        bench.tell(ProbeEnded(name.encode(), Outcome.OK, 10, LoadReport(free_slots=slots, in_hand=1.0)))
+
+
+def test_a_job_that_does_not_start_is_moved_to_a_worker_with_room_and_its_first_is_called_off():
+    # Guards short jobs against queues that no report showed, and against workers that fell silent.
+    bench = Bench([ready(b"w1")])
+    reported(bench, w1=1.0)
+    job, actions = bench.job(SAFE)
+    assert pushed(actions) == b"w1"
+    bench.tell(WorkerList(2, ListKind.FULL, [ready(b"w1"), ready(b"w2")]))
+    assert not of(Cancel, bench.run(SECOND // 2))  # nobody is known to have room
+    reported(bench, w2=2.0)
+    (cancel,) = of(Cancel, bench.run(SECOND // 2))
+    assert (cancel.job, cancel.attempt) == (job, 0)
+    bench.tell(AttemptEnded(job, 0, b"w1", Outcome.CANCELLED, final=False))
+    assert pushed(bench.run(SECOND)) == b"w2"
+    bench.tell(AttemptStarted(job, 1, b"w2"))
+    assert not of(Cancel, bench.run(SECOND))
+
+
+@pytest.mark.parametrize("job_class", [SAFE, UNSAFE])
+def test_what_has_started_or_may_not_be_repeated_is_not_moved(job_class):
+    bench = Bench([ready(b"w1")])
+    job, _ = bench.job(job_class)
+    if job_class == SAFE:
+        bench.tell(AttemptStarted(job, 0, b"w1"))
+    bench.tell(WorkerList(2, ListKind.FULL, [ready(b"w1"), ready(b"w2")]))
+    reported(bench, w2=2.0)
+    assert not of(Cancel, bench.run(2 * SECOND))
+
+
+def test_a_full_worker_at_home_draws_less_than_a_free_one_abroad():
+    # Guards against queues at home that cost more than a crossing: a late answer loses the whole worth.
+    bench = Bench([ready(b"home", zone=0), ready(b"away", zone=1)], zone=0, price_cross_zone=0.2)
+    reported(bench, home=2.0)
+    reported(bench, home=0.0, away=2.0)
+    drawn = [pushed(bench.job(UNSAFE)[1]) for _ in range(1)]
+    weights = [bench.dispatcher.weight(w, bench.dispatcher.jobs[1]) for w in bench.dispatcher.ready]
+    assert drawn and 0 < weights[0] < weights[1]
