Let the longest jobs cross halls first where home is short of room, and pull home harder

The trace shows 42% of the pushes crossing, of all classes alike. Cause: Dispatcher.weight pulled each class home alike, though a crossing costs the same whatever crosses and a card-charge holds a slot for six balance-checks' time. PULL 4 let the many abroad outweigh a free slot at home in one draw of ten, and more often where the estimate of room at home was under one slot. Change: homing() by the class's running time and the share of jobs that lately found no room at home; PULL 12 and the floor in proportion, 0.0007.

--- a/pulleyroute/rules.py
+++ b/pulleyroute/rules.py
@@ -15,13 +15,13 @@
 from pulleyroute.interface import Effect, Outcome, Scope
 
 # The floor of the draw, in free slots: small beside one, so that full workers draw little while any is free.
-FLOOR = 0.002
+FLOOR = 0.0007
 # Full Jitter: the first sleep is at most this share of the class's aim, and no sleep is longer than the aim,
 # since a job that slept its whole aim away is late wherever it goes.
 BASE_OF_AIM = 1 / 8
 # How many free slots at home outweigh one abroad, for each point in 100 that a crossing costs; likewise for
 # workers with an idle connection and what a new one costs.
-PULL = 4.0
+PULL = 12.0
 # One error in a row makes a worker a tenth as likely; a healthy one hardly ever errs twice running.
 ERROR_FACTOR = 0.1
 # A success takes this share of the blame away.
@@ -169,6 +169,7 @@
         self.digests: dict[bytes, Worker] = {}
         self.told: dict[tuple[int, bytes], tuple[int, int]] = {}  # slots a peer holds at a worker, since when
         self.ready: list[Worker] = []
+        self.tight = 0.0  # the share of jobs lately that found no room at home
         self.held = self.load = 0.0  # slots that own started attempts hold, now and on average
         self.width = NEAR  # how many workers it keeps to
         self.moved = False  # whether one was found down or back since those near were chosen
@@ -232,6 +233,9 @@
         spare = max(0.0, job.cls.stretch - 1) * TYPICAL * self.runs.get(job.cls.name, self.running)
         useful = born + int((job.cls.aim + spare) * self.rank(job.cls))
         job.useful_until = min(job.deadline, useful)
+        if self.abroad < 1:
+            home = any(w.zone == self.settings.zone and self.room(w, job) > ROOM for w in self.near)
+            self.tight += BLEND * ((not home) - self.tight)
         worker = self.draw(job)
         if worker is None:
             self.sleep(job, job.useful_until)
@@ -299,6 +303,18 @@
                 return None
             avoid = []  # all others are out of the question: one that turned it away may have room by now
 
+    def homing(self, cls: api.JobClass) -> float:
+        """How much of the pull home counts for a class, from 0 to 1.
+
+        Guards the room at home where it is short: a crossing costs the same whatever crosses, and one long
+        job leaves room there for several short ones, which would cross instead.
+        """
+        shortest = min(self.runs.values(), default=0.0)
+        if not shortest:
+            return 1.0
+        longer = self.runs.get(cls.name, shortest) / shortest - 1
+        return max(0.0, 1 - self.tight * longer)
+
     def eligible(self, job: Job) -> list[Worker]:
         """The workers that may be pushed the job."""
         cls, bound = job.cls, self.bound(job)
@@ -361,7 +377,7 @@
             weight = FLOOR / ahead
             job.waits[worker.id] = wait
         if worker.zone != self.settings.zone:
-            weight *= self.abroad
+            weight *= self.abroad ** self.homing(job.cls)
         if self.unconnected < 1 and not (worker.idle and now - worker.idle[-1] < self.settings.keepalive):
             weight *= self.unconnected
         if worker.blame:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -521,3 +521,19 @@
     drawn = [pushed(bench.job(UNSAFE)[1]) for _ in range(1)]
     weights = [bench.dispatcher.weight(w, bench.dispatcher.jobs[1]) for w in bench.dispatcher.ready]
     assert drawn and 0 < weights[0] < weights[1]
+
+
+def test_where_room_at_home_is_short_the_longest_class_crosses_first():
+    # Guards the price of crossings: each costs the same, and a long job leaves room for several short ones.
+    bench = Bench([ready(b"home", zone=0), ready(b"away", zone=1)], zone=0, price_cross_zone=0.2)
+    dispatcher = bench.dispatcher
+    dispatcher.runs = {"safe": SECOND, "unsafe": 6 * SECOND}
+    assert dispatcher.homing(CLASSES[SAFE]) == dispatcher.homing(CLASSES[UNSAFE]) == 1.0
+    reported(bench, home=0.0, away=8.0)
+    for _ in range(8):
+        bench.job(UNSAFE)
+    assert dispatcher.homing(CLASSES[UNSAFE]) == 0.0 and dispatcher.homing(CLASSES[SAFE]) == 1.0
+    reported(bench, home=8.0)
+    tight = dispatcher.tight
+    bench.job(UNSAFE)
+    assert dispatcher.tight < tight
