Bound strangers in time, shed them first, and count the memory that requests hold

Seen (from reading, then measured): a connection that had made no request yet could stay 90 s silent or 10 s in the middle of one, where 3 s from connecting are owed. Once accepted connections were used up, the longest idle known client was closed for a silent newcomer; with all slots held by connections in the middle of a request the listener stood still for up to 10 s. ServiceClient._accepting also shed one connection more than was needed, before it knew of anybody waiting. One client that pipelined had all its requests served in one turn. 32 MB could be filled by bodies of requests whose client had left. Change: strangers have 2.5 s (2.8 s once begun), then 408; they are shed first, with 503, after 100 ms; accept comes before shedding; one request a turn and connection; a Ledger of bytes held, from limits.memory_mb. Open: instances answer 400 to some requests of bad clients, and are blamed for it.

--- a/pulleyroute/__main__.py
+++ b/pulleyroute/__main__.py
@@ -18,7 +18,7 @@
 
 from pulleyroute import __version__
 from pulleyroute.net import log
-from pulleyroute.net.buffers import BufferPool
+from pulleyroute.net.buffers import BufferPool, Ledger
 from pulleyroute.net.config import Config, ConfigError, load_config
 from pulleyroute.net.host import Host
 from pulleyroute.net.instance import Instances
@@ -31,6 +31,10 @@
 CLIENT_SHARE = 0.7  # accepted connections: clients and the instances' calls
 JOB_SHARE = 0.45  # of all: clients that wait for an answer
 INSTANCE_SHARE = 0.3
+# Of the memory, what the program takes by itself; of the rest this share may be requests as they were read,
+# since a byte of them is held up to three times over while it is parsed and sent on.
+PROGRAM_MB = 22
+READ_SHARE = 1 / 3
 
 
 def on_error(name: str, exc: Exception) -> None:
@@ -50,11 +54,17 @@
     return wanted
 
 
+def readable(config: Config) -> int:
+    """How many bytes of requests may be held."""
+    return int(max(1, (config.memory_mb - PROGRAM_MB) * READ_SHARE) * 1024 * 1024)
+
+
 @dataclass(slots=True)
 class Parts:
     """A dispatcher's parts that a signal concerns."""
 
     config: Config
+    ledger: Ledger
     names: NameTable
     instances: Instances
     clients: ServiceClient
@@ -62,7 +72,7 @@
 
 def build(config: Config, loop: Loop) -> Parts:
     """The parts of a dispatcher, wired and listening."""
-    pool = BufferPool()
+    pool, ledger = BufferPool(), Ledger(readable(config))
     epoch = time.time_ns() // 1000 - loop.now()
     names = NameTable(loop, pool, config.discovery, config.settings, epoch)
     budget = descriptors(config.sockets) - RESERVE
@@ -74,12 +84,12 @@
         except ValueError as exc:
             raise ConfigError(f"known: {exc}") from None
     clients = ServiceClient(
-        loop, pool, host, config.settings, int(budget * CLIENT_SHARE), int(budget * JOB_SHARE))
+        loop, pool, ledger, host, config.settings, int(budget * CLIENT_SHARE), int(budget * JOB_SHARE))
     try:
         clients.listen(config.listen)
     except OSError as exc:
         raise ConfigError(f"cannot listen on {config.listen[0]}:{config.listen[1]}: {exc.strerror}") from None
-    return Parts(config, names, instances, clients)
+    return Parts(config, ledger, names, instances, clients)
 
 
 def reload(parts: Parts) -> None:
@@ -91,8 +101,8 @@
         logger.error("configuration not read again: {}", exc)
         return
     old = parts.config
-    logger.info("configuration read again: discovery {}:{}, limits.sockets {}",
-                *config.discovery, config.sockets)
+    logger.info("configuration read again: discovery {}:{}, limits.sockets {}, limits.memory_mb {}",
+                *config.discovery, config.sockets, config.memory_mb)
     for name in ("name", "listen", "settings"):
         if getattr(config, name) != getattr(old, name):
             logger.warning("a change of {} needs a restart", name)
@@ -100,8 +110,9 @@
         budget = descriptors(config.sockets) - RESERVE
         parts.instances.allow(int(budget * INSTANCE_SHARE))
         parts.clients.allow(int(budget * CLIENT_SHARE), int(budget * JOB_SHARE))
+    parts.ledger.most = readable(config)
     parts.names.move(config.discovery)
-    old.discovery, old.sockets = config.discovery, config.sockets
+    old.discovery, old.sockets, old.memory_mb = config.discovery, config.sockets, config.memory_mb
 
 
 def heeding(source: socket.socket, parts: Parts) -> Coroutine[None]:
--- a/pulleyroute/net/buffers.py
+++ b/pulleyroute/net/buffers.py
@@ -1,4 +1,4 @@
-"""Read buffers of one size, used again from a pool."""
+"""Read buffers of one size, used again from a pool, and the count of what was read and is still held."""
 
 from __future__ import annotations
 
@@ -26,3 +26,15 @@
         finally:
             if len(self._free) < self._kept:
                 self._free.append(buffer)
+
+
+class Ledger:
+    """Counts the bytes of requests that accepted connections hold, against what memory allows."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.held = 0
+
+    @property
+    def full(self) -> bool:
+        return self.held > self.most
--- a/pulleyroute/net/config.py
+++ b/pulleyroute/net/config.py
@@ -14,6 +14,8 @@
 
 SOCKETS = 1024  # where the configuration names no limit
 FEWEST_SOCKETS = 64
+MEMORY_MB = 256  # likewise
+LEAST_MEMORY_MB = 24
 
 
 class ConfigError(Exception):
@@ -27,6 +29,7 @@
     discovery: tuple[str, int]
     seed: int
     sockets: int  # descriptors that may be open
+    memory_mb: int
     known: Any  # the list of instances as last held, in discovery's form; None if there is none
     settings: Settings
 
@@ -57,7 +60,8 @@
             listen=parse_address(_text(environ.get("PROXY_LISTEN") or data.get("listen"), "listen")),
             discovery=parse_address(_text(sources[0] or sources[1], "discovery")),
             seed=_seed(data.get("seed", 0)),
-            sockets=_sockets(data.get("limits")),
+            sockets=_limit(data.get("limits"), "sockets", SOCKETS, FEWEST_SOCKETS),
+            memory_mb=_limit(data.get("limits"), "memory_mb", MEMORY_MB, LEAST_MEMORY_MB),
             known=data.get("known"),
             settings=settings,
         )
@@ -81,8 +85,8 @@
         raise ValueError(f"seed is {value!r}, not hexadecimal digits") from None
 
 
-def _sockets(limits: object) -> int:
-    value = limits.get("sockets", SOCKETS) if isinstance(limits, dict) else SOCKETS
-    if isinstance(value, bool) or not isinstance(value, int) or value < FEWEST_SOCKETS:
-        raise ValueError(f"limits.sockets is {value!r}, not a number of at least {FEWEST_SOCKETS}")
-    return value
+def _limit(limits: object, name: str, default: int, least: int) -> int:
+    value = limits.get(name, default) if isinstance(limits, dict) else default
+    if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value < 1e9:
+        raise ValueError(f"limits.{name} is {value!r}, not a number of at least {least}")
+    return int(value)
--- a/pulleyroute/net/host.py
+++ b/pulleyroute/net/host.py
@@ -225,6 +225,7 @@
 
     def _conclude(self, job: Job) -> None:
         job.answered = True
+        job.request.body = b""  # guards the memory: its executions may outlive it for long
         self.open -= 1
         if job.guard is not None:
             job.guard.cancel()
--- a/pulleyroute/net/http.py
+++ b/pulleyroute/net/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import re
 import socket
@@ -11,7 +12,7 @@
 
 import h11
 
-from pulleyroute.net.buffers import BufferPool
+from pulleyroute.net.buffers import BufferPool, Ledger
 from pulleyroute.net.loop import READABLE, WRITABLE, Coroutine, Loop, Wait, Woken
 
 HEAD_LIMIT = 16 * 1024
@@ -68,7 +69,9 @@
 class Stream:
     """One connection, in either role. Owns its socket and its parser."""
 
-    def __init__(self, loop: Loop, pool: BufferPool, sock: socket.socket, server: bool) -> None:
+    def __init__(
+        self, loop: Loop, pool: BufferPool, sock: socket.socket, server: bool, ledger: Ledger | None = None
+    ) -> None:
         self._loop = loop
         self._pool = pool
         self._sock = sock
@@ -76,6 +79,8 @@
         self.closed = False
         self.fresh = True  # not a byte of the next message has come
         self._head_only = False  # the request was HEAD: its answer has no body
+        self._ledger = ledger
+        self._claimed = 0  # bytes read here that count in the ledger
         self._raw = b""  # what the head of the next request was read from
 
     def fileno(self) -> int:
@@ -84,6 +89,7 @@
     def close(self) -> None:
         if not self.closed:
             self.closed = True
+            self._claim(-self._claimed)
             self._loop.forget(self._sock.fileno())
             self._sock.close()
 
@@ -98,12 +104,33 @@
                 raise Broken(str(exc)) from None
             if count:
                 self.fresh = False
+                self._claim(count)
             try:
                 self._h11.receive_data(bytes(memoryview(buffer)[:count]))
             except RuntimeError:  # the end was read twice
                 raise Broken("read after the end") from None
             return count
 
+    def _claim(self, count: int) -> None:
+        self._claimed += count
+        if self._ledger is not None:
+            self._ledger.held += count
+
+    def unread(self) -> bool:
+        """Whether something has come, or the end, that nobody has read yet."""
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+        return True
+
+    def farewell(self, data: bytes) -> None:
+        """Send a last word, as far as it goes without waiting."""
+        with contextlib.suppress(OSError):
+            self._sock.send(data)
+
     def trailing(self) -> int:
         """How many bytes have come that no message has claimed yet."""
         return len(self._h11.trailing_data[0])
@@ -112,13 +139,7 @@
         """Whether a kept connection is still there, silent and between messages."""
         if self.closed or self._h11.states != {h11.CLIENT: h11.IDLE, h11.SERVER: h11.IDLE}:
             return False
-        try:
-            self._sock.recv(1, socket.MSG_PEEK)
-        except (BlockingIOError, InterruptedError):
-            return True
-        except OSError:
-            return False
-        return False  # its end, or bytes that nobody asked for
+        return not self.unread()  # neither its end nor bytes that nobody asked for
 
     def send(self, data: bytes, until: int | None) -> Coroutine[None]:
         """Hand every byte to the kernel; when this returns, the last byte is written."""
@@ -154,6 +175,8 @@
                 raise Malformed(exc.error_status_hint, str(exc)) from None
             if event is not h11.NEED_DATA:
                 return event
+            if self._ledger is not None and self._ledger.full:
+                raise Malformed(503, "no memory for more")  # guards the process: over its limit it is killed
             if self._h11.they_are_waiting_for_100_continue:
                 head = self._h11.send(h11.InformationalResponse(status_code=100, headers=[]))
                 yield from self.send(head or b"", until)
@@ -215,6 +238,7 @@
             return False
         self._h11.start_next_cycle()
         self.fresh = not self.trailing()
+        self._claim(self.trailing() - self._claimed)
         return True
 
     def linger(self) -> Coroutine[None]:
--- a/pulleyroute/net/service_client.py
+++ b/pulleyroute/net/service_client.py
@@ -7,12 +7,13 @@
 import socket
 import zlib
 from collections import OrderedDict
+from itertools import islice
 from urllib.parse import parse_qsl
 
 from loguru import logger
 
 from pulleyroute.interface import Settings, WorkerId
-from pulleyroute.net.buffers import BufferPool
+from pulleyroute.net.buffers import BufferPool, Ledger
 from pulleyroute.net.host import Answer, Call, Ending, Host, Request, State
 from pulleyroute.net.http import Broken, Headers, Late, Malformed, Message, Stream
 from pulleyroute.net.instance import read_report
@@ -23,6 +24,13 @@
 BACKLOG = 1024
 REQUEST_TIME = 10_000_000  # from a request's first byte to its last
 IDLE_TIME = 90_000_000  # between two requests
+# A stranger has not made a whole valid request yet. Its first byte must come so soon after connecting, and
+# the last one of that request so soon.
+STRANGER_SILENCE = 2_500_000
+STRANGER_TIME = 2_800_000
+SHED_AGE = 100_000  # a stranger is not shed before: its request may be on the way
+STRANGER_SHARE = 0.25  # where more of the connections are strangers, no known client is shed for another
+SHED_LOOKS = 16  # connections looked at for one to shed
 WRITE_TIME = 10_000_000
 ACCEPT_PAUSE = 20_000  # after running out of descriptors
 ACCEPTS_A_TURN = 64
@@ -40,32 +48,47 @@
 _WHOLE = re.compile(rb"[0-9]{1,12}")
 
 
+SHED = (b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1.000\r\nContent-Length: 0\r\n"
+        b"Connection: close\r\n\r\n")
+
+
 class Connection:
     """One accepted connection."""
 
-    __slots__ = ("answer", "stream", "task")
+    __slots__ = ("answer", "known", "line", "since", "stream", "task")
 
-    def __init__(self, stream: Stream) -> None:
+    def __init__(self, stream: Stream, since: int) -> None:
         self.stream = stream
+        self.since = since  # when it was accepted
+        self.known = False  # it has made a whole valid request: no stranger any more
+        self.line: Line | None = None  # where it stands to be shed
         self.task: Task | None = None
         self.answer: Answer | None = None
 
 
+Line = OrderedDict[Connection, None]  # the first to be shed first
+
+
 class ServiceClient:
     """Owns the listener and every accepted connection."""
 
     def __init__(
-        self, loop: Loop, pool: BufferPool, host: Host, settings: Settings, most: int, most_jobs: int
+        self, loop: Loop, pool: BufferPool, ledger: Ledger, host: Host, settings: Settings, most: int,
+        most_jobs: int,
     ) -> None:
         self._loop = loop
         self._pool = pool
+        self._ledger = ledger
         self._host = host
         self._settings = settings
         self._classes = {cls.name.encode(): i for i, cls in enumerate(settings.classes)}
         self._most = most  # accepted connections
         self._most_jobs = most_jobs  # requests at once; the rest is kept for the instances' calls
         self._connections: set[Connection] = set()
-        self._idle: OrderedDict[Connection, None] = OrderedDict()  # longest idle first
+        self._lingering: Line = OrderedDict()  # they have their last answer
+        self._silent: Line = OrderedDict()  # strangers that have sent nothing
+        self._begun: Line = OrderedDict()  # strangers that have sent part of a request
+        self._idle: Line = OrderedDict()  # known ones between two requests
         self._listener: socket.socket | None = None
         self._acceptor: Task | None = None
         self._stopping = False
@@ -114,7 +137,7 @@
 
     def _close_idle(self) -> None:
         self._closing = True
-        for connection in list(self._idle):
+        for connection in [*self._silent, *self._idle]:
             if connection.task is not None:
                 connection.task.nudge()
         self._leave()
@@ -132,12 +155,12 @@
     # Accepting
 
     def _accepting(self, listener: socket.socket) -> Coroutine[None]:
+        sock: socket.socket | None = None  # accepted, and waiting for room
         while True:
             for _ in range(ACCEPTS_A_TURN):
-                if len(self._connections) >= self._most and not self._shed():
-                    break
                 try:
-                    sock, _ = listener.accept()
+                    # Guards the others: nobody is shed before a connection is there that needs the room.
+                    sock = sock or listener.accept()[0]
                 except (BlockingIOError, InterruptedError):
                     break
                 except ConnectionError:
@@ -148,20 +171,44 @@
                     self._shed()
                     yield Wait(until=self._loop.now() + ACCEPT_PAUSE)
                     break
+                if len(self._connections) >= self._most and not self._shed():
+                    break
                 self._welcome(sock)
-            if len(self._connections) >= self._most:
-                yield Wait(until=self._loop.now() + ACCEPT_PAUSE)
-            else:
+                sock = None
+            if sock is None:
                 yield Wait(listener.fileno(), READABLE)
+            else:
+                yield Wait(until=self._loop.now() + ACCEPT_PAUSE)
 
     def _shed(self) -> bool:
-        """Close the connection that has been idle for longest."""
-        if not self._idle:
-            return False
-        connection, _ = self._idle.popitem(last=False)
-        if connection.task is not None:
-            connection.task.cancel()
-        return True
+        """Make room for a new connection: strangers go first, the silent ones before the others.
+
+        Guards usual clients and the instances' calls against hundreds that connect and say nothing.
+        """
+        grown = self._loop.now() - SHED_AGE
+        for line in (self._lingering, self._silent, self._begun, self._idle):
+            stranger = line is self._silent or line is self._begun
+            if line is self._idle and len(self._silent) + len(self._begun) > self._most * STRANGER_SHARE:
+                return False  # guards known clients: the young strangers can be shed in a moment
+            for connection in islice(line, SHED_LOOKS):
+                if stranger and connection.since > grown:
+                    break
+                if line is not self._lingering and connection.stream.unread():
+                    continue  # its request has come and waits for its turn
+                if stranger:
+                    connection.stream.farewell(SHED)
+                if connection.task is not None:
+                    connection.task.cancel()
+                return True
+        return False
+
+    def _stand(self, connection: Connection, line: Line | None) -> None:
+        """Put a connection into the line where it may be shed, or into none."""
+        if connection.line is not None:
+            connection.line.pop(connection, None)
+        connection.line = line
+        if line is not None:
+            line[connection] = None
 
     def _welcome(self, sock: socket.socket) -> None:
         sock.setblocking(False)
@@ -170,7 +217,8 @@
         except OSError:
             sock.close()
             return
-        connection = Connection(Stream(self._loop, self._pool, sock, server=True))
+        stream = Stream(self._loop, self._pool, sock, server=True, ledger=self._ledger)
+        connection = Connection(stream, self._loop.now())
         self._connections.add(connection)
         connection.task = Task(self._loop, self._serving(connection), "client connection")
         connection.task.start()
@@ -181,49 +229,65 @@
         stream = connection.stream
         try:
             while True:
-                if not (yield from self._first_byte(connection)):
-                    return
                 try:
-                    message = yield from stream.request(self._loop.now() + REQUEST_TIME)
+                    if not (yield from self._first_byte(connection)):
+                        return
+                    if connection.known:
+                        until = self._loop.now() + REQUEST_TIME
+                    else:
+                        until = connection.since + STRANGER_TIME
+                        self._stand(connection, self._begun)
+                    message = yield from stream.request(until)
+                    self._stand(connection, None)
                     if message is None:
                         return
                     going = yield from self._route(connection, message)
                 except Malformed as exc:
                     # After an error in the framing nobody knows where the next request begins.
-                    yield from self._tell(stream, exc.status, str(exc).encode(), close=True)
-                    yield from stream.linger()
-                    return
+                    advice = [retry_after(FULL_RETRY_AFTER)] if exc.status == 503 else None
+                    yield from self._tell(stream, exc.status, str(exc).encode(), advice, close=True)
+                    going = False
                 except Late:
                     yield from self._tell(stream, 408, b"the request did not come in time", close=True)
-                    return
+                    going = False
                 if not going:
+                    self._stand(connection, self._lingering)
                     yield from stream.linger()
                     return
+                if not stream.fresh and connection.task is not None:
+                    # Guards all others against one that sends request after request: their turn comes first.
+                    connection.task.nudge()
+                    yield Wait()
         except (Broken, Late):
             return
         finally:
-            self._idle.pop(connection, None)
+            self._stand(connection, None)
             self._connections.discard(connection)
             stream.close()
             if self._quiet:
                 self._loop.call_at(self._loop.now(), self._leave)
 
     def _first_byte(self, connection: Connection) -> Coroutine[bool]:
-        """Wait between two requests; False if the connection is to end."""
+        """Wait between two requests; False if the connection is to end. Late: a stranger said nothing."""
         stream = connection.stream
         if not stream.fresh:
             return True
-        self._idle[connection] = None
-        until = self._loop.now() + IDLE_TIME
+        self._stand(connection, self._idle if connection.known else self._silent)
+        until = self._loop.now() + IDLE_TIME if connection.known else connection.since + STRANGER_SILENCE
         try:
             while True:
                 count = stream.pull()
                 if count is not None:
                     return count > 0
-                if (yield Wait(stream.fileno(), READABLE, until)) is not Woken.READY:
-                    return stream.pull() is not None  # what came at the last moment is still served
+                woken = yield Wait(stream.fileno(), READABLE, until)
+                if woken is not Woken.READY and stream.pull() is not None:
+                    return True  # what came at the last moment is still served
+                if woken is Woken.LATE and not connection.known:
+                    raise Late
+                if woken is not Woken.READY:
+                    return False
         finally:
-            self._idle.pop(connection, None)
+            self._stand(connection, None)
 
     def _tell(self, stream: Stream, status: int, body: bytes = b"", headers: Headers | None = None,
               close: bool = False) -> Coroutine[bool]:
@@ -241,6 +305,7 @@
         if path == READY:
             if message.method not in (b"GET", b"HEAD"):
                 return (yield from self._tell(stream, 405, headers=[(b"Allow", b"GET, HEAD")]))
+            connection.known = True
             if self._stopping:
                 return (yield from self._tell(stream, 503, b"stopping"))
             return (yield from self._tell(stream, 200, b"ready\n"))
@@ -251,6 +316,7 @@
                 call = read_call(message.body, self._settings)
             except ValueError as exc:
                 return (yield from self._tell(stream, 400, str(exc).encode()))
+            connection.known = True
             self._host.call(call)
             return (yield from self._tell(stream, 204))
         job_class = self._classes.get(path[1:].partition(b"/")[0]) if path.startswith(b"/") else None
@@ -264,6 +330,7 @@
             return (yield from self._tell(stream, 400, str(exc).encode()))
         if self._host.knows(request.txn):
             return (yield from self._tell(stream, 409, b"a request of this id is being worked on"))
+        connection.known = True
         if self._host.open >= self._most_jobs or self._host.held >= HELD * self._most_jobs:
             # Guards the descriptors that instances' calls need, without which no job would ever end, and the
             # memory that clients could fill who leave at once and come again.
--- a/tests/net/scene.py
+++ b/tests/net/scene.py
@@ -7,7 +7,7 @@
 import time
 
 from pulleyroute.interface import Settings
-from pulleyroute.net.buffers import BufferPool
+from pulleyroute.net.buffers import BufferPool, Ledger
 from pulleyroute.net.host import Host
 from pulleyroute.net.instance import Instances
 from pulleyroute.net.loop import Loop
@@ -144,7 +144,9 @@
         self.host = Host(self.loop, self.settings, 1, self.names, self.instances)
         self.runners = {f"s-{i}": Listener(self.loop) for i in range(instances)}
         self.names.load_known(self.table(*self.runners))
-        self.clients = ServiceClient(self.loop, pool, self.host, self.settings, most, most_jobs)
+        self.ledger = Ledger(1024 * 1024)
+        self.clients = ServiceClient(
+            self.loop, pool, self.ledger, self.host, self.settings, most, most_jobs)
         self.clients.listen(("127.0.0.1", 0))
 
     def table(self, *names: str, phase: str = "active", complete: bool = True, revision: int = 1) -> dict:
--- a/tests/net/test_service_client.py
+++ b/tests/net/test_service_client.py
@@ -100,10 +100,19 @@
     assert b" 503 " in scene.ask(txn="t9").message()[0]
 
 
+READY = b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+def known(scene):
+    peer = scene.client()
+    peer.send(READY)
+    assert b" 200 " in peer.message()[0]
+    return peer
+
+
 def test_the_longest_idle_connection_makes_room_for_a_new_one():
     scene = Scene(most=2)
-    old, new = scene.client(), scene.client()
-    scene.loop.settle()
+    old, new = known(scene), known(scene)
     third = scene.ask(txn="t3")
     scene.loop.until(lambda: scene.host.open)
     scene.loop.until(lambda: old.pull() is not None and old.ended)
@@ -111,6 +120,69 @@
     third.close()
 
 
+def test_silent_strangers_are_shed_before_known_clients_and_not_before_their_request_can_have_come():
+    # Guards usual clients and the instances' calls against hundreds that connect and say nothing.
+    scene = Scene(most=3)
+    idle, silent, begun = known(scene), scene.client(), scene.client()
+    begun.send(GOOD[:30])
+    scene.loop.settle()
+    third = scene.ask(txn="t3")
+    scene.loop.settle()
+    scene.loop.skip(50_000)
+    assert not scene.host.open and not silent.pull()
+    scene.loop.skip(200_000)
+    scene.loop.until(lambda: scene.host.open)
+    assert b" 503 " in silent.message()[0] and not begun.pull()
+    fourth = scene.ask(txn="t4")
+    scene.loop.until(lambda: scene.host.open == 2)
+    head = begun.message()[0]
+    assert b" 503 " in head and b"Retry-After" in head
+    for peer in (third, fourth, idle):
+        peer.close()
+
+
+@pytest.mark.parametrize("sent", [b"", GOOD[:30], GOOD.replace(b"Length: 0", b"Length: 9") + b"x",
+                                  GOOD.replace(b"/read", b"/other")])
+def test_a_stranger_gets_an_error_within_three_seconds_and_a_known_client_keeps_its_idle_time(sent):
+    scene = Scene()
+    idle, stranger = known(scene), scene.client()
+    if sent:
+        stranger.send(sent)
+    scene.loop.settle()
+    scene.loop.skip(2_900_000)
+    statuses = [b" 404 "] if b"/other" in sent else []
+    for status in [*statuses, b" 408 "]:
+        assert status in stranger.message()[0]
+    scene.loop.until(lambda: stranger.pull() is not None and stranger.ended)
+    scene.loop.skip(30 * SECOND)
+    idle.send(READY)
+    assert b" 200 " in idle.message()[0]
+
+
+def test_one_client_that_sends_request_after_request_gets_one_a_turn():
+    scene = Scene()
+    greedy = known(scene)
+    greedy.send(READY * 50)
+    scene.loop.turn(0.1)
+    assert greedy.pull().count(b" 200 ") <= 2
+    scene.loop.until(lambda: greedy.pull().count(b" 200 ") == 50)
+
+
+def test_requests_beyond_the_memory_are_turned_away_and_what_is_answered_counts_no_more():
+    scene = Scene()
+    scene.ledger.most = 1000
+    first, second = (scene.ask(txn=txn, body=b"x" * 700) for txn in ("t1", "t2"))
+    scene.loop.until(lambda: scene.host.open == 2)  # whole requests are served; nothing more is read
+    third = scene.client()
+    third.send(GOOD[:30])
+    head = third.message()[0]
+    assert b" 503 " in head and b"Retry-After" in head
+    for peer in (first, second, third):
+        peer.close()
+    scene.loop.until(lambda: not scene.ledger.held)
+    assert not any(job.request.body for job in scene.host._jobs.values())
+
+
 def test_running_out_of_descriptors_pauses_the_listener(monkeypatch):
     scene = Scene()
     listener = scene.clients._listener
