Take an instance's 4xx as its word on the request: answer 400, go nowhere else, blame nobody

Cause: Instances._judge made ERROR of every answer but 202 and marked nacks, so the module resubmitted, and Dispatcher.judge made the instance a tenth as likely for seconds. Checked and ruled out: that the request could be told from a good one before: its head is whole and in form. Change: Host._reject ends it as CANCELLED with the job answered; 408 and 429 stay errors.

--- a/pulleyroute/net/host.py
+++ b/pulleyroute/net/host.py
@@ -33,6 +33,7 @@
     SERVED = "served"
     REFUSED = "refused"
     FAILED = "failed"
+    REJECTED = "rejected"  # an instance says that the request itself can't be used
 
 
 @dataclass(slots=True, frozen=True)
@@ -140,6 +141,7 @@
         self.faults = 0  # exceptions of the module
         names.tell = self.post
         instances.ended = self.settle
+        instances.rejected = self._reject
         instances.probed = self._probed
         self._doers: dict[type, Callable[..., None]] = {
             api.Push: self._push,
@@ -327,6 +329,18 @@
             job.number, execution.index, execution.instance, outcome, job.answered, took, report))
         self._forget(job)
 
+    def _reject(self, execution: Execution) -> None:
+        """An instance can't use the request, so none can: answer, send it nowhere else and blame nobody.
+
+        Guards the instances against bad clients: an error makes a sound one a tenth as likely for seconds.
+        """
+        job = self._by_txn.get(execution.txn)
+        if execution.over or job is None:
+            return
+        if not job.answered:
+            self._answer(job, Answer(Ending.REJECTED))
+        self.settle(execution, Outcome.CANCELLED, None)
+
     def _time_out(self, execution: Execution) -> None:
         execution.timer = None
         if not execution.over:
--- a/pulleyroute/net/instance.py
+++ b/pulleyroute/net/instance.py
@@ -20,6 +20,7 @@
 GIVE_UP_TIME = 1_000_000  # for a DELETE and its answer
 ANSWER_GRACE = 1_000_000  # an answer may be read this long after its execution ended otherwise
 CONNECT_TIME = 1_000_000  # where the settings name no limit
+MAY_PASS = (408, 429)  # of the answers that blame a request, those that a repeat may not get
 IDLE_SHARE = 0.7  # of the time after which the instance's machine may close an idle connection
 
 # A load report's values have other names on sockets than in the settings.
@@ -53,6 +54,7 @@
 
 
 Ended = Callable[[Execution, Outcome, LoadReport | None], None]
+Rejected = Callable[[Execution], None]
 Probed = Callable[[WorkerId, Outcome, int, LoadReport | None], None]
 
 
@@ -72,6 +74,7 @@
         self._idle_time = int(settings.keepalive * IDLE_SHARE) or 2_000_000
         self._sweeping = False
         self.ended: Ended = lambda execution, outcome, report: None
+        self.rejected: Rejected = lambda execution: None
         self.probed: Probed = lambda instance, outcome, took, report: None
 
     def allow(self, most: int) -> None:
@@ -209,6 +212,9 @@
             self.ended(execution, Outcome.FULL, report)
             return
         logger.warning("instance {}: answered {}", execution.instance.decode(), answer.status)
+        if 400 <= answer.status < 500 and answer.status not in MAY_PASS:
+            self.rejected(execution)
+            return
         self.ended(execution, Outcome.ERROR, report)
 
     def give_up(self, execution: Execution) -> None:
--- a/pulleyroute/net/service_client.py
+++ b/pulleyroute/net/service_client.py
@@ -373,6 +373,7 @@
     Ending.SERVED: lambda answer: (200, answer.result, []),
     Ending.REFUSED: _refused,
     Ending.FAILED: lambda answer: (502, b"failed", []),
+    Ending.REJECTED: lambda answer: (400, b"no instance can use it", []),
 }
 
 
--- a/tests/net/test_host.py
+++ b/tests/net/test_host.py
@@ -56,6 +56,18 @@
     assert b"X-Txn: t2" in runner.message()[0] and scene.runners["s-0"].untouched()
 
 
+def test_a_request_that_an_instance_cannot_use_goes_nowhere_else_and_blames_no_instance():
+    # Guards sound instances against the blame for what bad clients send.
+    scene = Scene(instances=2)
+    client = scene.ask()
+    name, runner, _ = first_sent(scene)
+    runner.send(b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
+    assert status(client)[0] == 400
+    scene.loop.skip(SECOND)
+    assert not scene.host.held and not any(w.blame for w in scene.host._dispatcher.workers.values())
+    assert scene.runners["s-1" if name == "s-0" else "s-0"].untouched()
+
+
 def test_repeated_stale_and_unknown_calls_change_nothing():
     scene = Scene()
     seen = []
