Hold a kept connection's end against no instance, and send what can't be repeated on new ones

Cause: Dispatcher.judge doubted the worker on every RESET and CONNECT_FAILED; Instances._open trusted each kept connection younger than 0.7 of the configured idle time; Dispatcher.draw fell back to workers that the job may have run at, which the host never sends to (moot), so attempts were spent for nothing. Change: AttemptEnded.kept; the other kept connections there are closed, and for 10 s only what may be repeated freely uses kept ones; a worker gets a job again only if it surely has not run there.

--- a/pulleyroute/interface.py
+++ b/pulleyroute/interface.py
@@ -205,6 +205,7 @@
     final: bool  # nothing more is owed for the job
     took: int = 0
     report: LoadReport | None = None
+    kept: bool = False  # it went out on a connection kept from before, whose end says nothing of the worker
 
 
 @dataclass(slots=True)
--- a/pulleyroute/net/host.py
+++ b/pulleyroute/net/host.py
@@ -294,6 +294,7 @@
             txn=request.txn, index=len(job.executions), instance=action.worker, method=request.method,
             target=request.target, headers=request.headers, body=request.body, sent=self._now,
             timeout_at=min(action.timeout_at or job.deadline, job.deadline),
+            repeatable=self._settings.classes[request.job_class].effect is Effect.SAFE,
         )
         earlier = [e for e in job.executions if e.instance == action.worker]
         job.executions.append(execution)
@@ -326,7 +327,9 @@
         logger.debug("request {} at {}: {} after {} us", execution.txn, execution.instance.decode(),
                      outcome.name.lower(), took)
         self.post(api.AttemptEnded(
-            job.number, execution.index, execution.instance, outcome, job.answered, took, report))
+            job.number, execution.index, execution.instance, outcome, job.answered, took, report,
+            # Once accepted it no longer hangs on its connection.
+            execution.kept and not execution.accepted))
         self._forget(job)
 
     def _reject(self, execution: Execution) -> None:
--- a/pulleyroute/net/instance.py
+++ b/pulleyroute/net/instance.py
@@ -21,6 +21,7 @@
 ANSWER_GRACE = 1_000_000  # an answer may be read this long after its execution ended otherwise
 CONNECT_TIME = 1_000_000  # where the settings name no limit
 MAY_PASS = (408, 429)  # of the answers that blame a request, those that a repeat may not get
+DISTRUST = 10_000_000  # how long kept ones carry only what may be repeated freely after one has broken
 IDLE_SHARE = 0.7  # of the time after which the instance's machine may close an idle connection
 
 # A load report's values have other names on sockets than in the settings.
@@ -43,11 +44,13 @@
     body: bytes
     sent: int
     timeout_at: int
+    repeatable: bool = True  # freely, whatever became of it
     over: bool = False  # its outcome is known
     started: bool = False
     outcome: Outcome | None = None
     timer: Timer | None = None
     written: bool = field(default=False, init=False)  # the last byte is with the kernel
+    kept: bool = field(default=False, init=False)  # sent on a connection kept from before
     accepted: bool = field(default=False, init=False)  # the instance answered 202
     nacked: bool = field(default=False, init=False)  # the instance answered with a marked nack
     task: Task | None = field(default=None, init=False)
@@ -73,6 +76,7 @@
         self._idle: dict[WorkerId, list[tuple[int, Stream]]] = {}
         self._idle_time = int(settings.keepalive * IDLE_SHARE) or 2_000_000
         self._sweeping = False
+        self._distrust_until = 0  # a kept connection broke under a request not long ago
         self.ended: Ended = lambda execution, outcome, report: None
         self.rejected: Rejected = lambda execution: None
         self.probed: Probed = lambda instance, outcome, took, report: None
@@ -83,8 +87,8 @@
 
     # Connections
 
-    def _open(self, instance: WorkerId) -> Coroutine[Stream]:
-        """A kept connection that is still there, or a new one."""
+    def _kept(self, instance: WorkerId) -> Stream | None:
+        """A kept connection that is still there, as far as can be seen."""
         kept = self._idle.get(instance, [])
         while kept:
             since, stream = kept.pop()
@@ -92,6 +96,15 @@
             if self._loop.now() - since < self._idle_time and stream.reusable():
                 return stream
             self._drop(stream)
+        return None
+
+    def _broke(self, instance: WorkerId) -> None:
+        """A kept connection broke under a request: those kept beside it are no better."""
+        self.close_idle(instance)
+        self._distrust_until = self._loop.now() + DISTRUST
+
+    def _open(self, instance: WorkerId) -> Coroutine[Stream]:
+        """A new connection."""
         member = self._names.member(instance)
         if member is None:
             raise Broken("not in the name table")
@@ -161,7 +174,13 @@
         stream = None
         try:
             try:
-                stream = yield from self._open(execution.instance)
+                if execution.repeatable or self._loop.now() >= self._distrust_until:
+                    # Guards what can't be sent again: a kept connection may be gone and not show it, as where
+                    # an instance closes idle ones early.
+                    stream = self._kept(execution.instance)
+                execution.kept = stream is not None
+                if stream is None:
+                    stream = yield from self._open(execution.instance)
                 if not self._names.active(execution.instance):
                     # Guards the drain rule: the instance left the table while the connection came up.
                     self._keep(execution.instance, stream)
@@ -179,6 +198,8 @@
                 return
             except (Broken, Late) as exc:  # the last byte was not written: it never ran
                 logger.warning("instance {}: could not connect: {}", execution.instance.decode(), exc)
+                if execution.kept:
+                    self._broke(execution.instance)
                 self.ended(execution, Outcome.CONNECT_FAILED, None)
                 return
             execution.written = True
@@ -188,6 +209,8 @@
             except (Broken, Late, Malformed) as exc:
                 if not execution.over:
                     logger.warning("instance {}: reset: {}", execution.instance.decode(), exc)
+                if execution.kept and not isinstance(exc, Late):
+                    self._broke(execution.instance)
                 self.ended(execution, Outcome.RESET, None)
                 return
             self._keep(execution.instance, stream)
@@ -235,7 +258,7 @@
         until = self._loop.now() + limit
         written = False
         try:
-            stream = yield from self._open(instance)
+            stream = self._kept(instance) or (yield from self._open(instance))
             yield from stream.send(self._frame(stream, instance, method, target, []), until)
             written = True
             answer = yield from stream.response(until)
--- a/pulleyroute/rules.py
+++ b/pulleyroute/rules.py
@@ -294,14 +294,13 @@
     def draw(self, job: Job) -> Worker | None:
         """The draw: free slots net of own pushes since, with a floor, times what the exceptions say."""
         among = self.eligible(job)
-        avoid = [a.worker for a in job.attempts]
-        while True:
+        # Where all others are out of the question, one that turned it away may have room by now; but none
+        # gets it again where it may have run.
+        for avoid in ([a.worker for a in job.attempts], [a.worker for a in job.attempts if a.ran]):
             weights = [0.0 if w in avoid else self.weight(w, job) for w in among]
             if sum(weights) > 0:
                 return self.rng.choices(among, weights)[0]
-            if not avoid:
-                return None
-            avoid = []  # all others are out of the question: one that turned it away may have room by now
+        return None
 
     def homing(self, cls: api.JobClass) -> float:
         """How much of the pull home counts for a class, from 0 to 1.
@@ -550,7 +549,9 @@
         self.held -= job.slots if attempt.started else 0
         if event.report is not None:
             self.learn(worker, event.report)
-        self.judge(worker, attempt, outcome)
+        if not (event.kept and outcome in (Outcome.CONNECT_FAILED, Outcome.RESET)):
+            # Guards live workers against doubt: a kept connection may end at any time.
+            self.judge(worker, attempt, outcome)
         if event.final or job.ended:
             self.close(job)
         elif self.now >= job.deadline:
--- a/tests/net/test_instance.py
+++ b/tests/net/test_instance.py
@@ -67,6 +67,31 @@
     assert scene.runners["s-0"].untouched()
 
 
+def test_after_a_kept_connection_broke_charges_go_on_new_ones_and_the_instance_is_not_doubted():
+    # Guards against instances that close idle connections early, and against doubting live ones for it.
+    scene = Scene()
+    client, runner = served_once(scene)
+    scene.ask("/charge", txn="t2", peer=client)
+    runner.message()
+    runner.close()
+    assert b" 502 " in client.message()[0]
+    (worker,) = scene.host._dispatcher.workers.values()
+    assert not worker.holds and not worker.down_until
+    for txn in ("t3", "t4"):
+        scene.ask("/charge", txn=txn, peer=client)
+        fresh = scene.runners["s-0"].accept()  # a new connection for each
+        assert f"X-Txn: {txn}".encode() in fresh.message()[0]
+        fresh.send(TAKEN)
+        finish(scene, client, txn)
+    scene.loop.skip(11 * SECOND)
+    for txn in ("t5", "t6"):  # trust comes back
+        scene.ask("/charge", txn=txn, peer=client)
+        runner = scene.runners["s-0"].accept() if txn == "t5" else runner
+        assert f"X-Txn: {txn}".encode() in runner.message()[0]
+        runner.send(TAKEN)
+        finish(scene, client, txn)
+
+
 def test_without_a_descriptor_nothing_is_sent_and_no_instance_is_blamed(monkeypatch):
     scene = Scene()
     client = scene.client()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -537,3 +537,14 @@
     tight = dispatcher.tight
     bench.job(UNSAFE)
     assert dispatcher.tight < tight
+
+
+def test_a_worker_gets_a_job_again_only_if_it_surely_has_not_run_there():
+    # Guards the attempts left: calls name no attempt, so the host sends none where the job may have run.
+    for outcome, again in ((Outcome.RESET, False), (Outcome.FULL, True)):
+        bench = Bench([ready(b"only")])
+        job, _ = bench.job(SAFE)
+        bench.tell(AttemptEnded(job, 0, b"only", outcome, final=False, kept=True))
+        reported(bench, only=2.0)
+        bench.dispatcher.workers[b"only"].down_until = 0
+        assert bool(of(Push, bench.run(SECOND))) is again
