Let no job lost in silence shut out a worker whose readings show free slots

The trace shows five of nine instances with 3 free slots reported 0.1 to 0.9 s before, each with one own voucher-apply unstarted for 2 to 7 s, and all refusals falling between that push and its time-out after 7.5 s. Cause: Dispatcher.room took any push unstarted for long as proof of a queue, and weight() added its whole age to the wait there, so the weight was 0 until the time-out, against readings that had been taken long after the push. Checked and ruled out: doubt (holds 0 and mute 0 or 1 on all of them), old reports, a full fleet. Change: waiting() leaves out pushes that a reading two gaps later contradicts.

--- a/pulleyroute/rules.py
+++ b/pulleyroute/rules.py
@@ -328,6 +328,17 @@
             among = [w for w in among if w.cell == bound.worker.cell]
         return among
 
+    def waiting(self, worker: Worker) -> list[Attempt]:
+        """Own pushes that wait there for their start, the oldest first.
+
+        Guards live workers against jobs lost in silence, which never start: a slot that was free two readings
+        after the push proves that nothing queues before it.
+        """
+        if worker.free is None or worker.free < 1 or not self.gap:
+            return list(worker.unstarted.values())
+        seen = worker.report_at - 2 * self.gap
+        return [attempt for attempt in worker.unstarted.values() if attempt.sent > seen]
+
     def room(self, worker: Worker, job: Job) -> float:
         """Its free slots for the job, as far as can be told; negative where jobs wait."""
         now = self.now
@@ -345,11 +356,10 @@
                 usual = min(usual, free)
             free = trust * free + (1 - trust) * usual
         free -= job.slots - 1
-        if worker.unstarted:
-            # A job still unstarted after a while waits in a queue: no slot is free, whatever the report says.
-            first = next(iter(worker.unstarted.values()))
-            if now - first.sent > self.running * BLEND:
-                free = min(free, 1.0 - len(worker.unstarted))
+        waiting = self.waiting(worker)
+        # A job still unstarted after a while waits in a queue: no slot is free, whatever the report says.
+        if waiting and now - waiting[0].sent > self.running * BLEND:
+            free = min(free, 1.0 - len(waiting))
         if job.memory and worker.memory is not None and job.memory > worker.memory:
             free = min(free, 0.0)
         return free
@@ -368,9 +378,10 @@
             ahead = 1.0 - free
             wait = ahead * self.running / max(worker.most, 1.0)
             wait = max(wait, worker.wait - (now - worker.wait_at) * DRAIN)
-            if worker.unstarted:
+            waiting = self.waiting(worker)
+            if waiting:
                 # What has waited so long stands before it, and what was pushed since.
-                wait += now - next(iter(worker.unstarted.values())).sent
+                wait += now - waiting[0].sent
             if now + wait * max(1.0, self.waits_seen / self.waits_modelled) > job.useful_until:
                 return 0.0
             weight = FLOOR / ahead
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -548,3 +548,21 @@
         reported(bench, only=2.0)
         bench.dispatcher.workers[b"only"].down_until = 0
         assert bool(of(Push, bench.run(SECOND))) is again
+
+
+def test_a_job_lost_in_silence_does_not_shut_out_a_worker_whose_readings_show_slots_free():
+    # Guards live workers: one lost job made a worker with three free slots useless until its time-out.
+    bench = Bench([ready(b"w")])
+    dispatcher = bench.dispatcher
+    reported(bench, w=3.0)
+    lost, _ = bench.job(UNSAFE)
+    (worker,), job = dispatcher.ready, dispatcher.jobs[lost]
+    bench.run(SECOND // 2)
+    dispatcher.now = bench.now
+    assert dispatcher.room(worker, job) <= 0  # as far as is known it queues
+    for free in (2.0, 2.1, 2.2, 2.3, 2.4):
+        bench.run(SECOND)
+        reported(bench, w=free)
+    assert dispatcher.room(worker, job) > 1
+    reported(bench, w=0.0)
+    assert dispatcher.room(worker, job) <= 0  # full: it may stand in a queue after all
