Ask for the list again within the grace of a drain when its watch breaks

Cause: Dispatcher.plan_asking waited up to half of ask_every (5 s) after a first failure, while a drain has 1.5 s and what discovery wrote as the connection broke counts as told. Checked and ruled out: a line that was read and not applied (each version is logged once, in order); a connection that came up after the change (Instances looks at the table again before it writes). Not yet shown on the incident itself, as its break comes by chance.

--- a/pulleyroute/rules.py
+++ b/pulleyroute/rules.py
@@ -735,7 +735,11 @@
         """When to subscribe next: spread at random, and later after each failure."""
         if self.settings.list_on_request and not self.subscribed:
             share = self.rng.random() * min(2.0, 2.0 ** self.ask_fails / 4)
-            self.ask_at = self.now + int(self.settings.ask_every * share)
+            span = self.settings.ask_every * share
+            if self.ask_fails == 1:
+                # Guards the drain rule: what was told as a watch broke may be lost, and its grace is short.
+                span = min(span, share * self.settings.drain_grace / 2)
+            self.ask_at = self.now + int(span)
 
     # Time
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -566,3 +566,17 @@
     assert dispatcher.room(worker, job) > 1
     reported(bench, w=0.0)
     assert dispatcher.room(worker, job) <= 0  # full: it may stand in a queue after all
+
+
+def test_after_a_broken_watch_the_list_is_asked_for_within_the_grace_of_a_drain_and_then_ever_later():
+    for seed in range(20):
+        bench = Bench([ready(b"w")], seed=seed, list_on_request=True, drain_grace=3 * SECOND // 2)
+        bench.tell(WorkerList(1, ListKind.FAILED, []))
+        assert of(Subscribe, bench.run(SECOND))
+    asked = []
+    for seed in range(20):
+        bench = Bench([ready(b"w")], seed=seed, list_on_request=True, drain_grace=3 * SECOND // 2)
+        for _ in range(3):
+            bench.tell(WorkerList(1, ListKind.FAILED, []))
+        asked.append(bool(of(Subscribe, bench.run(SECOND))))
+    assert not all(asked)
