Pass gRPC calls through the decisions: HTTP/2 both ways, commit points, deadlines, drains

Users run gRPC between apps and job boxes and want the same rules for it. net/http2.py carries both roles on the existing loop through h2, with flow control end to end; grpc/ maps each call to a job: routes, status table, commit point as in gRFC A6, pushback, load reports, health.

Shown by scripted peers: no charge goes out twice, each call has one ending, 17 codes mapped as the table says.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# `make demo` and `make test` do all the set-up on a fresh machine: a virtual environment with what is pinned in
+# pyproject.toml, made once and again when that file changes.
+PYTHON ?= python3
+VENV ?= .venv-dev
+BIN := $(VENV)/bin
+
+.PHONY: demo test lint bench clean
+
+demo: $(VENV)/.ready
+	$(BIN)/pulleyroute demo
+
+test: $(VENV)/.ready
+	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python -m pytest
+
+lint: $(VENV)/.ready
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+# Minutes each, and the machine to itself: see docs/measured/.
+bench: $(VENV)/.ready
+	$(BIN)/python -m benchmarks.grpc_cost
+	$(BIN)/python -m benchmarks.grpc_memory
+	$(BIN)/python -m benchmarks.grpc_matrix
+	$(BIN)/python -m benchmarks.grpc_faults
+
+$(VENV)/.ready: pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip -q install --disable-pip-version-check -e '.[test,lint]'
+	touch $@
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/pulleyroute/grpc/__init__.py
@@ -0,0 +1,12 @@
+"""gRPC between service clients and instances: calls pass as they are, the decisions are the dispatcher's own.
+
+`Front` accepts connections of service clients, `Calls` holds those to instances; both stand on `net.http2`.
+Needs the extra `grpc` (h2, protobuf).
+"""
+
+from pulleyroute.grpc.back import Calls
+from pulleyroute.grpc.front import Front, FrontLimits
+from pulleyroute.grpc.routes import Match, Routes
+from pulleyroute.grpc.status import Status
+
+__all__ = ["Calls", "Front", "FrontLimits", "Match", "Routes", "Status"]
--- /dev/null
+++ b/pulleyroute/grpc/back.py
@@ -0,0 +1,247 @@
+"""Connections to gRPC instances: executions on their streams, giving them up, and what is known of their
+load."""
+
+from __future__ import annotations
+
+import ssl
+from dataclasses import dataclass, field
+
+from loguru import logger
+
+from pulleyroute.grpc.call import Call, Upstream
+from pulleyroute.grpc.decide import Word
+from pulleyroute.grpc.head import request_headers
+from pulleyroute.grpc.messages import read_load
+from pulleyroute.interface import LoadReport, Outcome, Settings, WorkerId
+from pulleyroute.net.buffers import BufferPool
+from pulleyroute.net.host import Host
+from pulleyroute.net.http import Broken, Headers
+from pulleyroute.net.http2 import Code, Http2, Limits, dial
+from pulleyroute.net.instance import Ended, Execution, Probed, Rejected
+from pulleyroute.net.loop import Coroutine, Loop, Task, Wait
+from pulleyroute.net.name_table import NameTable
+from pulleyroute.net.tls import Tls
+
+CONNECT_TIME = 1_000_000  # where the settings name no limit; up to the peer's first SETTINGS
+CONNECTIONS = 4  # to one instance at most, where one has no room for another stream
+SLOTS = 100.0  # calls that an instance is held to take at once, until it says otherwise
+
+
+@dataclass(slots=True, eq=False)
+class Site:
+    """One instance as seen from here."""
+
+    connections: list[Http2] = field(default_factory=list)
+    waiting: dict[Execution, None] = field(default_factory=dict)
+    connecting: Task | None = None
+    doubted: bool = False  # the last connection did not come up
+    out: int = 0  # executions there
+
+
+class Calls:
+    """Owns every connection to a pool's instances and the executions on them. A `host.Back`."""
+
+    def __init__(self, loop: Loop, pool: BufferPool, names: NameTable, settings: Settings, limits: Limits,
+                 slots: float = SLOTS, message_bytes: int = 0, context: ssl.SSLContext | None = None,
+                 server_name: str = "") -> None:
+        self._loop, self._pool, self._names, self._settings = loop, pool, names, settings
+        self.limits, self.slots, self.message_bytes = limits, slots, message_bytes
+        self.context, self.server_name = context, server_name
+        self._sites: dict[WorkerId, Site] = {}
+        self._upstreams: dict[Execution, Upstream] = {}
+        self.ended: Ended = lambda execution, outcome, report: None
+        self.rejected: Rejected = lambda execution: None
+        self.probed: Probed = lambda instance, outcome, took, report: None
+        self.host: Host | None = None  # set once it is made
+
+    @property
+    def open(self) -> int:
+        """Executions out."""
+        return len(self._upstreams)
+
+    # Executions
+
+    def execute(self, execution: Execution) -> None:
+        """Send a call out; its outcome is told to the host."""
+        call = execution.call
+        assert isinstance(call, Call)
+        site = self._sites.setdefault(execution.instance, Site())
+        upstream = Upstream(call, execution, self._finished, self.message_bytes)
+        self._upstreams[execution] = upstream
+        site.out += 1
+        connection = next((c for c in site.connections if c.room and c.ready), None)
+        if connection is not None:
+            self._open(connection, upstream)
+            return
+        if len([c for c in site.connections if not c.draining]) >= CONNECTIONS:
+            execution.nacked = True  # it was not sent: the instance lets no more streams in
+            self._let_go(execution)
+            self._tell(execution, Outcome.FULL, self._report(execution.instance))
+            return
+        site.waiting[execution] = None
+        self._connect(execution.instance, site)
+
+    def _open(self, connection: Http2, upstream: Upstream) -> None:
+        execution, call = upstream.execution, upstream.call
+        if not self._names.active(execution.instance):
+            # Guards the drain rule: the instance left the table while the connection came up.
+            self._let_go(execution)
+            self._tell(execution, Outcome.MOOT, None)
+            return
+        left = execution.timeout_at - self._loop.now()
+        headers = request_headers(call.head, b"https" if self.context is not None else b"http", left,
+                                  call.head.attempts + execution.index)
+        execution.kept = True  # a connection is many calls': its end says nothing of this one's instance
+        execution.written = True  # from its head on it may run
+        try:
+            upstream.stream = connection.request(headers, upstream)
+        except Broken:
+            execution.written = False
+            self._let_go(execution)
+            self._tell(execution, Outcome.MOOT, None)
+            return
+        call.attach(upstream)
+        if self.host is not None:
+            self.host.started(execution)
+
+    def _let_go(self, execution: Execution) -> Upstream | None:
+        upstream = self._upstreams.pop(execution, None)
+        if upstream is not None:
+            upstream.call.detach(upstream)
+            self._sites[execution.instance].out -= 1
+            self._sites[execution.instance].waiting.pop(execution, None)
+        return upstream
+
+    def _finished(self, upstream: Upstream, word: Word, trailers: Headers) -> None:
+        """An instance's last word on an execution; it may have asked to be left alone for a while first."""
+        execution = upstream.execution
+        stream = upstream.stream
+        if stream is not None and stream.open and not stream.ended_here:
+            # An answer before the request's end: nobody reads the rest. Not before this turn's events are
+            # over.
+            self._loop.call_at(self._loop.now(), lambda: stream.reset(Code.NO_ERROR))
+        self._let_go(execution)
+        execution.nacked = execution.nacked or word.nacked
+        report = read_load(trailers, self.slots) or self._report(execution.instance)
+        if word.hold:
+            self._loop.call_at(self._loop.now() + word.hold, lambda: self._settle(execution, word, report))
+        else:
+            self._settle(execution, word, report)
+
+    def _settle(self, execution: Execution, word: Word, report: LoadReport | None) -> None:
+        if self.host is not None:
+            self.host.settle(execution, word.outcome, report, ending=word.ending)
+
+    def _tell(self, execution: Execution, outcome: Outcome, report: LoadReport | None) -> None:
+        self.ended(execution, outcome, report)
+
+    def give_up(self, execution: Execution) -> None:
+        upstream = self._let_go(execution)
+        if upstream is not None:
+            upstream.give_up()
+
+    # Connections
+
+    def _connect(self, instance: WorkerId, site: Site) -> None:
+        if site.connecting is None or site.connecting.done:
+            site.connecting = Task(self._loop, self._connecting(instance, site), "grpc connection")
+            site.connecting.start()
+
+    def _connecting(self, instance: WorkerId, site: Site) -> Coroutine[None]:
+        """Bring a connection up to the peer's SETTINGS; then let what waits for it go out."""
+        limit = self._loop.now() + (self._settings.connect_timeout or CONNECT_TIME)
+        connection: Http2 | None = None
+        try:
+            member = self._names.member(instance)
+            if member is None:
+                raise Broken("not in the name table")
+            sock = yield from dial(self._loop, member.address, limit)
+            tls = None
+            if self.context is not None:
+                tls = Tls(self.context, False, self.server_name or member.address[0])
+            connection = Http2(self._loop, self._pool, sock, False, self.limits, tls,
+                               gone=self._gone(instance))
+            task = site.connecting
+            if task is not None:
+                connection.on_ready = task.nudge
+            connection.start()
+            while not connection.ready and not connection.closed:
+                if self._loop.now() >= limit:
+                    raise Broken("no settings in time")
+                yield Wait(until=limit)
+            if connection.closed:
+                raise Broken("it ended before its settings came")
+        except Broken as exc:
+            logger.bind(event="instance.unreachable", instance=instance.decode()).warning(
+                "instance {}: could not connect: {}", instance.decode(), exc)
+            if connection is not None:
+                connection.close("no use")
+            site.doubted = True
+            waiting, site.waiting = list(site.waiting), {}
+            for execution in waiting:
+                self._let_go(execution)
+                self._tell(execution, Outcome.CONNECT_FAILED, None)
+            return
+        connection.on_ready = None
+        site.doubted = False
+        site.connections.append(connection)
+        while site.waiting and connection.room:
+            execution = next(iter(site.waiting))
+            del site.waiting[execution]
+            self._open(connection, self._upstreams[execution])
+        if site.waiting:
+            # Their turn comes on another connection, or they are told that there is no room.
+            site.connecting = None
+            waiting, site.waiting = list(site.waiting), {}
+            for execution in waiting:
+                self._upstreams.pop(execution)
+                site.out -= 1
+                self.execute(execution)
+
+    def _gone(self, instance: WorkerId):  # type: ignore[no-untyped-def]
+        def gone(connection: Http2, why: str) -> None:
+            site = self._sites.get(instance)
+            if site is not None and connection in site.connections:
+                site.connections.remove(connection)
+                logger.bind(event="instance.connection_ended", instance=instance.decode()).info(
+                    "instance {}: connection ended: {}", instance.decode(), why)
+        return gone
+
+    def close_idle(self, instance: WorkerId) -> None:
+        site = self._sites.get(instance)
+        for connection in list(site.connections) if site is not None else []:
+            if not len(connection):
+                connection.close("idle")
+
+    def close(self) -> None:
+        """End every connection: the pool is not used any more."""
+        for site in self._sites.values():
+            for connection in list(site.connections):
+                connection.close("the pool is closed")
+
+    # Load
+
+    def _report(self, instance: WorkerId) -> LoadReport:
+        """What is known without a word of the instance: own calls there against its slots."""
+        site = self._sites.get(instance)
+        out = site.out if site is not None else 0
+        return LoadReport(free_slots=max(0.0, self.slots - out), in_hand=float(out))
+
+    def probe(self, instance: WorkerId) -> None:
+        """Costs the instance nothing while its connections stand; else it is whether one comes up."""
+        site = self._sites.setdefault(instance, Site())
+        if not site.doubted or site.connections:
+            # Not before the event in hand is over: the module hears one thing at a time.
+            self._loop.call_at(self._loop.now(), lambda: self.probed(
+                instance, Outcome.OK, 0, self._report(instance)))
+        else:
+            self._loop.spawn(self._probing(instance, site), "probe")
+
+    def _probing(self, instance: WorkerId, site: Site) -> Coroutine[None]:
+        began = self._loop.now()
+        self._connect(instance, site)
+        while site.connecting is not None and not site.connecting.done:
+            yield Wait(until=self._loop.now() + 20_000)
+        outcome = Outcome.CONNECT_FAILED if site.doubted else Outcome.OK
+        self.probed(instance, outcome, self._loop.now() - began,
+                    self._report(instance) if outcome is Outcome.OK else None)
--- /dev/null
+++ b/pulleyroute/grpc/front.py
@@ -0,0 +1,244 @@
+"""The service client's side of gRPC: listener, connections, routing of calls to hosts, health, and the
+drain."""
+
+from __future__ import annotations
+
+import itertools
+import socket
+import ssl
+from dataclasses import dataclass, field
+
+from loguru import logger
+
+from pulleyroute.grpc.call import GRACE, Call
+from pulleyroute.grpc.head import BadHead, Head, failure, read_head
+from pulleyroute.grpc.health import PATHS, Health, HealthCall
+from pulleyroute.grpc.routes import Routes
+from pulleyroute.grpc.status import Status
+from pulleyroute.net.buffers import BufferPool, Ledger
+from pulleyroute.net.host import Host, Request
+from pulleyroute.net.http import Headers
+from pulleyroute.net.http2 import Http2, Limits, Owner, Stream
+from pulleyroute.net.loop import READABLE, Coroutine, Loop, Task, Wait
+from pulleyroute.net.tls import Tls
+
+BACKLOG = 1024
+ACCEPTS_A_TURN = 64
+ACCEPT_PAUSE = 20_000
+FULL_ADVICE = 1_000_000
+DRAIN_TIME = 30_000_000
+
+
+@dataclass(slots=True, frozen=True)
+class FrontLimits:
+    """What a listener takes: `connections` and `calls` at once, bytes a message, bytes kept for resends a
+    call (`replay`) and in all (`memory`); `drain` in microseconds, from the first GOAWAY to the end."""
+
+    connections: int = 1000
+    calls: int = 10_000
+    message_bytes: int = 4 * 1024 * 1024
+    replay: int = 256 * 1024
+    memory: int = 64 * 1024 * 1024
+    drain: int = DRAIN_TIME
+    connection: Limits = field(default_factory=Limits)
+
+
+@dataclass(slots=True, frozen=True)
+class Target:
+    """Where a route leads: a pool's host, and a class by its number there."""
+
+    host: Host
+    job_class: int
+    give_up: int  # microseconds, for a call that names no time of its own
+    name: str = ""
+
+
+class Front:
+    """Owns a listener, its accepted connections and the calls on them."""
+
+    def __init__(self, loop: Loop, pool: BufferPool, routes: Routes[Target], limits: FrontLimits,
+                 health: Health,
+                 context: ssl.SSLContext | None = None, name: str = "grpc") -> None:
+        self._loop, self._pool = loop, pool
+        self.routes, self.limits, self.context = routes, limits, context
+        self.health = health
+        self.name = name
+        self.ledger = Ledger(limits.memory)
+        self.calls: set[Call] = set()
+        self.connections: set[Http2] = set()
+        self.counts = dict.fromkeys(Status, 0)
+        self._numbers = itertools.count(1)
+        self._listener: socket.socket | None = None
+        self._acceptor: Task | None = None
+        self.stopping = False
+
+    def listen(self, address: tuple[str, int]) -> None:
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
+        try:
+            listener.setblocking(False)
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind(address)
+            listener.listen(BACKLOG)
+        except OSError:
+            listener.close()
+            raise
+        self._listener = listener
+        self._acceptor = self._loop.spawn(self._accepting(listener), f"listener {self.name}")
+
+    @property
+    def address(self) -> tuple[str, int]:
+        assert self._listener is not None
+        host, port = self._listener.getsockname()
+        return host, port
+
+    def apply(self, routes: Routes[Target], limits: FrontLimits, context: ssl.SSLContext | None) -> None:
+        """Other routes, limits and certificate from now on; calls and connections that are open go on."""
+        self.routes, self.limits, self.context = routes, limits, context
+        self.ledger.most = limits.memory
+
+    def stop(self) -> None:
+        """No new connection; GOAWAY on those there are; their calls finish, for `limits.drain` at the
+        longest."""
+        if self.stopping:
+            return
+        self.stopping = True
+        if self._acceptor is not None:
+            self._acceptor.cancel()
+        if self._listener is not None:
+            self._loop.forget(self._listener.fileno())
+            self._listener.close()
+        for connection in list(self.connections):
+            connection.drain()
+        self._loop.call_at(self._loop.now() + self.limits.drain, self._cut)
+
+    def _cut(self) -> None:
+        """The drain's time is over: what still runs gets its one ending now."""
+        for call in list(self.calls):
+            call.fail(Status.UNAVAILABLE, "the dispatcher stops: it may have run", cut=True)
+        self._loop.call_at(self._loop.now() + 100_000, self._close)
+
+    def _close(self) -> None:
+        for connection in list(self.connections):
+            connection.close("stopped")
+
+    @property
+    def idle(self) -> bool:
+        return not self.connections
+
+    # Accepting
+
+    def _accepting(self, listener: socket.socket) -> Coroutine[None]:
+        while True:
+            for _ in range(ACCEPTS_A_TURN):
+                if len(self.connections) >= self.limits.connections and not self._shed():
+                    # Guards the process's descriptors: who comes now waits in the backlog.
+                    yield Wait(until=self._loop.now() + ACCEPT_PAUSE)
+                    continue
+                try:
+                    sock = listener.accept()[0]
+                except (BlockingIOError, InterruptedError):
+                    break
+                except ConnectionError:
+                    continue
+                except OSError as exc:
+                    logger.bind(event="listener.cannot_accept").error("cannot accept: {}", exc)
+                    yield Wait(until=self._loop.now() + ACCEPT_PAUSE)
+                    break
+                self._welcome(sock)
+            yield Wait(listener.fileno(), READABLE)
+
+    def _shed(self) -> bool:
+        """Make room: one that carries no call goes."""
+        for connection in self.connections:
+            if not len(connection):
+                connection.close("room was needed")
+                return True
+        return False
+
+    def _welcome(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError:
+            sock.close()
+            return
+        tls = Tls(self.context, True) if self.context is not None else None
+        connection = Http2(self._loop, self._pool, sock, True, self.limits.connection, tls, self._opened,
+                           self._gone)
+        self.connections.add(connection)
+        connection.start()
+
+    def _gone(self, connection: Http2, why: str) -> None:
+        self.connections.discard(connection)
+        logger.bind(event="client.connection_ended", listener=self.name).debug("connection ended: {}", why)
+
+    # Calls
+
+    def _opened(self, stream: Stream, headers: Headers, ended: bool) -> Owner:
+        try:
+            if sum(len(name) + len(value) + 32 for name,
+                   value in headers) > self.limits.connection.header_bytes:
+                raise BadHead(Status.RESOURCE_EXHAUSTED, "the headers are too large")
+            head = read_head(headers)
+            if head.path in PATHS:
+                return HealthCall(self.health, stream, head.path, ended)
+            return self._call(stream, head, ended)
+        except BadHead as exc:
+            self.counts[exc.status] += 1
+            if exc.http != 200:
+                stream.send_headers([(b":status", b"%d" % exc.http)], end=True)
+            else:
+                stream.send_headers(failure(exc.status, str(exc)), end=True)
+            return Ignored(stream)
+
+    def _call(self, stream: Stream, head: Head, ended: bool) -> Owner:
+        target = self.routes.find(head.service, head.method)
+        if target is None:
+            raise BadHead(Status.UNIMPLEMENTED, "no route takes this method")
+        if head.timeout is not None and head.timeout <= 0:
+            raise BadHead(Status.DEADLINE_EXCEEDED, "the deadline was over when the call came")
+        host = target.host
+        if len(self.calls) >= self.limits.calls or self.ledger.full:
+            self.counts[Status.UNAVAILABLE] += 1
+            stream.send_headers(failure(Status.UNAVAILABLE, "full: it has not run", FULL_ADVICE), end=True)
+            return Ignored(stream)
+        call = Call(host, stream, head, self.limits.replay, self.ledger, self.limits.message_bytes,
+                    self._over)
+        call.replay.ended = ended
+        self.calls.add(call)
+        stream.owner = call
+        request = Request(
+            txn=f"{self.name}-{next(self._numbers)}", job_class=target.job_class,
+            remaining=target.give_up if head.timeout is None else head.timeout,
+            method=b"POST", target=head.path,
+            headers=[], body=b"", is_repeat=head.attempts > 0, call=call,
+        )
+        job = host.submit(request, call.reply)
+        call.job = job
+        return call
+
+    def _over(self, call: Call, status: Status) -> None:
+        self.calls.discard(call)
+        self.counts[status] += 1
+        if call.stream.waiting and call.job is not None:
+            # Guards the memory against a client that never reads its answer to the end.
+            self._loop.call_at(max(call.job.deadline, self._loop.now()) + GRACE, call.stream.reset)
+        logger.bind(event="call.ended", path=call.head.path.decode(errors="replace"),
+                    status=status.name).debug(
+            "call ended")
+
+
+class Ignored:
+    """Owns a stream that has its answer: what still comes is read and dropped."""
+
+    def __init__(self, stream: Stream) -> None:
+        self._stream = stream
+
+    def headers(self, headers: Headers, ended: bool) -> None: ...
+
+    def data(self, data: bytes) -> None:
+        self._stream.consumed(len(data))
+
+    def ended(self, trailers: Headers) -> None: ...
+    def sent(self, count: int) -> None: ...
+    def broke(self, code: int | None, never_ran: bool, why: str) -> None: ...
--- /dev/null
+++ b/pulleyroute/grpc/messages.py
@@ -0,0 +1,125 @@
+"""The few messages that the dispatcher itself reads or writes: gRPC's health protocol and ORCA load reports.
+
+Sources: `grpc.health.v1` ("GRPC Health Checking Protocol") and `xds.data.orca.v3.OrcaLoadReport` (gRFC A51,
+A64). Their types are described here and made by protobuf; users' messages are never looked into.
+"""
+
+from __future__ import annotations
+
+import binascii
+import json
+import math
+from typing import Any
+
+from google.protobuf import descriptor_pb2, descriptor_pool, message, message_factory
+
+from pulleyroute.grpc.head import one
+from pulleyroute.interface import LoadReport
+from pulleyroute.net.http import Headers
+
+_DOUBLE, _STRING, _INT32, _MESSAGE = 1, 9, 5, 11
+
+
+def _types() -> tuple[Any, Any, Any]:
+    file = descriptor_pb2.FileDescriptorProto(
+        name="pulleyroute/messages.proto", package="pulleyroute", syntax="proto3")
+
+    def add(name: str, fields: list[tuple[str, int, int]]) -> Any:
+        kind = file.message_type.add(name=name)
+        for field, number, of in fields:
+            kind.field.add(name=field, number=number, type=of, label=1)
+        return kind
+
+    add("HealthCheckRequest", [("service", 1, _STRING)])
+    add("HealthCheckResponse", [("status", 1, _INT32)])
+    report = add("OrcaLoadReport", [
+        ("cpu_utilization", 1, _DOUBLE), ("mem_utilization", 2, _DOUBLE), ("rps_fractional", 6, _DOUBLE),
+        ("eps", 7, _DOUBLE), ("application_utilization", 9, _DOUBLE),
+    ])
+    for name, number in (("request_cost", 4), ("utilization", 5), ("named_metrics", 8)):
+        entry = report.nested_type.add(name=name.title().replace("_", "") + "Entry")
+        entry.options.map_entry = True
+        entry.field.add(name="key", number=1, type=_STRING, label=1)
+        entry.field.add(name="value", number=2, type=_DOUBLE, label=1)
+        report.field.add(name=name, number=number, type=_MESSAGE, label=3,
+                         type_name=f".pulleyroute.OrcaLoadReport.{entry.name}")
+    pool = descriptor_pool.DescriptorPool()
+    pool.Add(file) if hasattr(pool, "Add") else pool.AddSerializedFile(file.SerializeToString())
+    found = [pool.FindMessageTypeByName(f"pulleyroute.{name}")
+             for name in ("HealthCheckRequest", "HealthCheckResponse", "OrcaLoadReport")]
+    asked, answered, load = (message_factory.GetMessageClass(each) for each in found)
+    return asked, answered, load
+
+
+HealthRequest, HealthResponse, OrcaReport = _types()
+SERVING, NOT_SERVING, SERVICE_UNKNOWN = 1, 2, 3
+
+
+def framed(data: bytes) -> bytes:
+    """A whole message as it goes over the wire, not compressed."""
+    return b"\0" + len(data).to_bytes(4, "big") + data
+
+
+def health_answer(status: int) -> bytes:
+    return framed(HealthResponse(status=status).SerializeToString())
+
+
+def health_service(data: bytes) -> str | None:
+    """The service that a framed `HealthCheckRequest` asks for; None if it can't be read."""
+    if len(data) < 5 or data[0] or int.from_bytes(data[1:5], "big") != len(data) - 5:
+        return None
+    try:
+        return str(HealthRequest.FromString(data[5:]).service)
+    except message.DecodeError:
+        return None
+
+
+def read_load(trailers: Headers, slots: float) -> LoadReport | None:
+    """The load report in an answer's trailers, or None.
+
+    `endpoint-load-metrics-bin` holds a protobuf in base64; `endpoint-load-metrics` the same as `TEXT
+    name=value,...` or `JSON {...}`. Utilisation of an instance with `slots` slots becomes free slots; the
+    named metrics `free_slots`, `queue` and `inflight` go before it.
+    """
+    values: dict[str, float] = {}
+    data = one(trailers, b"endpoint-load-metrics-bin")
+    text = one(trailers, b"endpoint-load-metrics")
+    try:
+        if data is not None:
+            values = _from_message(OrcaReport.FromString(_decoded(data)))
+        elif text is not None and text[:4] == b"TEXT":
+            pairs = (pair.partition("=") for pair in text[4:].decode().split(",") if pair.strip())
+            values = {name.strip(): float(value) for name, _, value in pairs}
+        elif text is not None and text[:4] == b"JSON":
+            for name, value in json.loads(text[4:]).items():
+                if isinstance(value, dict):
+                    values.update({str(key): float(each) for key, each in value.items()})
+                else:
+                    values[str(name)] = float(value)
+    except (ValueError, AttributeError, TypeError, RecursionError, message.DecodeError):
+        return None  # a load report is advice: an unreadable one changes nothing
+    values = {name.removeprefix("named_metrics."): value for name,
+              value in values.items() if math.isfinite(value)}
+    if not values:
+        return None
+    report = LoadReport(
+        in_hand=values.get("inflight"), queued=values.get("queue"), rate=values.get("rps_fractional"),
+        errors=values.get("eps"), busy=values.get("cpu_utilization"))
+    if "free_slots" in values:
+        report.free_slots = values["free_slots"]
+    else:
+        used = values.get("application_utilization") or values.get("cpu_utilization")
+        if used is not None:
+            report.free_slots = max(0.0, slots * (1 - used))
+    return report
+
+
+def _decoded(data: bytes) -> bytes:
+    return binascii.a2b_base64(data + b"=" * (-len(data) % 4))
+
+
+def _from_message(report: Any) -> dict[str, float]:
+    values = {name: getattr(report, name) for name in (
+        "cpu_utilization", "mem_utilization", "rps_fractional", "eps", "application_utilization")}
+    values = {name: value for name, value in values.items() if value}
+    return {**values, **report.named_metrics}
--- /dev/null
+++ b/pulleyroute/grpc/routes.py
@@ -0,0 +1,71 @@
+"""Which class and pool a call belongs to: pure, no I/O and no clock.
+
+The most exact route wins, whatever the order in the file: service and method, then service, then the longest
+prefix of the service's name. Two routes of the same exactness are an error, told when the table is made.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
+
+
+@dataclass(slots=True, frozen=True)
+class Match:
+    """What calls a route takes. `prefix` stands alone; `method` needs `service`. Names without slashes."""
+
+    service: str = ""
+    method: str = ""
+    prefix: str | None = None
+
+    def problem(self) -> str | None:
+        """What is wrong with it, in a few words."""
+        if self.prefix is not None and (self.service or self.method):
+            return "prefix stands alone, without service and method"
+        if self.prefix is None and not self.service:
+            return "needs service or prefix"
+        return None
+
+
+class Routes(Generic[T]):
+    """A table from calls to whatever they are routed to. Raises ValueError for two equal matches."""
+
+    def __init__(self, routes: list[tuple[Match, T]]) -> None:
+        self._methods: dict[tuple[bytes, bytes], T] = {}
+        self._services: dict[bytes, T] = {}
+        prefixes: dict[bytes, T] = {}
+        for match, target in routes:
+            problem = match.problem()
+            if problem is not None:
+                raise ValueError(problem)
+            service = match.service.encode()
+            if match.prefix is not None:
+                _put(prefixes, match.prefix.encode(), target, f"prefix {match.prefix!r}")
+            elif match.method:
+                _put(self._methods, (service, match.method.encode()), target,
+                     f"{match.service}/{match.method}")
+            else:
+                _put(self._services, service, target, match.service)
+        self._prefixes = sorted(prefixes.items(), key=lambda item: -len(item[0]))
+
+    def find(self, service: bytes, method: bytes) -> T | None:
+        """Where a call goes; None for one that no route takes."""
+        target = self._methods.get((service, method))
+        if target is None:
+            target = self._services.get(service)
+        if target is None:
+            for prefix, at in self._prefixes:
+                if service.startswith(prefix):
+                    return at
+        return target
+
+
+K = TypeVar("K")
+
+
+def _put(table: dict[K, T], key: K, target: T, name: str) -> None:
+    if key in table:
+        raise ValueError(f"two routes for {name}")
+    table[key] = target
--- /dev/null
+++ b/pulleyroute/grpc/status.py
@@ -0,0 +1,121 @@
+"""gRPC's status codes and what each says of a call: served, refused or failed, and whether it has run. Pure.
+
+Codes and the maps from HTTP and HTTP/2 are from the gRPC documents "Status codes and their use in gRPC",
+"gRPC over HTTP2" and "HTTP to gRPC Status Code Mapping".
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import IntEnum
+from urllib.parse import unquote_to_bytes
+
+from pulleyroute.interface import Outcome
+from pulleyroute.net.host import Ending
+
+
+class Status(IntEnum):
+    OK = 0
+    CANCELLED = 1
+    UNKNOWN = 2
+    INVALID_ARGUMENT = 3
+    DEADLINE_EXCEEDED = 4
+    NOT_FOUND = 5
+    ALREADY_EXISTS = 6
+    PERMISSION_DENIED = 7
+    RESOURCE_EXHAUSTED = 8
+    FAILED_PRECONDITION = 9
+    ABORTED = 10
+    OUT_OF_RANGE = 11
+    UNIMPLEMENTED = 12
+    INTERNAL = 13
+    UNAVAILABLE = 14
+    DATA_LOSS = 15
+    UNAUTHENTICATED = 16
+
+
+@dataclass(slots=True, frozen=True)
+class Verdict:
+    """What a status that an instance answered says of its call."""
+
+    ending: Ending
+    outcome: Outcome  # what the decisions hear of the instance
+    ran: bool  # it may have run
+    again: bool = False  # worth another instance, where the class allows
+
+
+# An instance's word on the request itself is served: it reaches the client as it is, and no other instance
+# would say otherwise. Which codes blame the server follows OpenTelemetry's semantic conventions for gRPC
+# servers.
+_WORD = Verdict(Ending.SERVED, Outcome.OK, True)
+_FAULT = Verdict(Ending.FAILED, Outcome.ERROR, True)
+_BUSY = Verdict(Ending.FAILED, Outcome.ERROR, True, again=True)
+TABLE: dict[Status, Verdict] = {
+    Status.OK: _WORD,
+    Status.CANCELLED: Verdict(Ending.FAILED, Outcome.CANCELLED, True),
+    Status.UNKNOWN: _FAULT,
+    Status.INVALID_ARGUMENT: _WORD,
+    Status.DEADLINE_EXCEEDED: Verdict(Ending.FAILED, Outcome.TIMEOUT, True),
+    Status.NOT_FOUND: _WORD,
+    Status.ALREADY_EXISTS: _WORD,
+    Status.PERMISSION_DENIED: _WORD,
+    # A quota, or a message too large: no other instance is likelier to take it, unless it says when to come
+    # back.
+    Status.RESOURCE_EXHAUSTED: Verdict(Ending.FAILED, Outcome.CANCELLED, True),
+    Status.FAILED_PRECONDITION: _WORD,
+    Status.ABORTED: _WORD,
+    Status.OUT_OF_RANGE: _WORD,
+    Status.UNIMPLEMENTED: Verdict(Ending.FAILED, Outcome.CANCELLED, False),
+    Status.INTERNAL: _FAULT,
+    Status.UNAVAILABLE: _BUSY,
+    Status.DATA_LOSS: _FAULT,
+    Status.UNAUTHENTICATED: _WORD,
+}
+# A marked nack: UNAVAILABLE or RESOURCE_EXHAUSTED with no headers before it and `x-turned-away: 1` beside it.
+NACK = Verdict(Ending.REFUSED, Outcome.FULL, False, again=True)
+MAY_NACK = (Status.UNAVAILABLE, Status.RESOURCE_EXHAUSTED)
+
+_FROM_HTTP = {
+    400: Status.INTERNAL, 401: Status.UNAUTHENTICATED, 403: Status.PERMISSION_DENIED,
+    404: Status.UNIMPLEMENTED,
+    429: Status.UNAVAILABLE, 502: Status.UNAVAILABLE, 503: Status.UNAVAILABLE, 504: Status.UNAVAILABLE,
+}
+_FROM_CODE = {
+    0x7: Status.UNAVAILABLE,  # REFUSED_STREAM
+    0x8: Status.CANCELLED,  # CANCEL
+    0xB: Status.RESOURCE_EXHAUSTED,  # ENHANCE_YOUR_CALM
+    0xC: Status.PERMISSION_DENIED,  # INADEQUATE_SECURITY
+}
+
+
+def from_http(code: int) -> Status:
+    """The status of an answer that carries none."""
+    return _FROM_HTTP.get(code, Status.UNKNOWN)
+
+
+def from_reset(code: int | None) -> Status:
+    """The status of a stream that RST_STREAM ended with this HTTP/2 code; None for a connection that
+    broke."""
+    if code is None:
+        return Status.UNAVAILABLE
+    return _FROM_CODE.get(code, Status.INTERNAL)
+
+
+def read_status(text: bytes) -> Status:
+    """The number in `grpc-status`; what is none of the 17 counts as UNKNOWN, as the specification says."""
+    try:
+        return Status(int(text))
+    except ValueError:
+        return Status.UNKNOWN
+
+
+def quote(text: str) -> bytes:
+    """A status message for `grpc-message`: percent-encoded UTF-8."""
+    return b"".join(
+        bytes((byte,)) if 0x20 <= byte <= 0x7E and byte != 0x25 else b"%%%02X" % byte
+        for byte in text.encode(errors="replace"))
+
+
+def unquote(text: bytes) -> str:
+    """A status message from `grpc-message`; never fails, as the specification asks."""
+    return unquote_to_bytes(text).decode(errors="replace")
--- a/pulleyroute/net/host.py
+++ b/pulleyroute/net/host.py
@@ -9,13 +9,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Protocol
 
 from loguru import logger
 
 from pulleyroute import interface as api
 from pulleyroute.interface import Effect, Outcome, Scope, Settings, WorkerId
 from pulleyroute.net.http import Headers
-from pulleyroute.net.instance import Execution, Instances
+from pulleyroute.net.instance import Ended, Execution, Probed, Rejected
 from pulleyroute.net.loop import Loop, Timer
 from pulleyroute.net.name_table import NameTable
 from pulleyroute.rules import PROVEN_NOT_RUN, Dispatcher
@@ -41,6 +42,7 @@
     ending: Ending
     result: bytes = b""
     retry_after: int = 0  # microseconds; 0 for no advice
+    late: bool = False  # the request's time was over
 
 
 Reply = Callable[[Answer], None]
@@ -62,6 +64,7 @@
     key: int = 0
     is_repeat: bool = False
     answer_by: int | None = None  # the clock's time, where this process will not be there for longer
+    call: object = None  # what a front that streams binds to it; for its own back alone
 
 
 class State(Enum):
@@ -93,6 +96,19 @@
     report: api.LoadReport | None = None
 
 
+class Back(Protocol):
+    """The instances' side of one protocol. `Host` sets the three callbacks before it posts anything."""
+
+    ended: Ended
+    rejected: Rejected
+    probed: Probed
+
+    def execute(self, execution: Execution) -> None: ...
+    def give_up(self, execution: Execution) -> None: ...
+    def probe(self, instance: WorkerId) -> None: ...
+    def close_idle(self, instance: WorkerId) -> None: ...
+
+
 def _silent(execution: Execution) -> bool:
     """Whether no call will come of it: it was not sent, or its answer said that it was not taken."""
     return execution.over and (
@@ -118,13 +134,15 @@
     executions: list[Execution] = field(default_factory=list)
     answered: bool = False  # or nobody waits any more
     guard: Timer | None = None
+    bound: Execution | None = None  # its answer has begun to flow: no other execution from here on
+    committed: bool = False  # the request is not whole any more: what is out is the last execution
 
 
 class Host:
     """Owns the dispatcher, the jobs, their executions and deadlines."""
 
     def __init__(
-        self, loop: Loop, settings: Settings, seed: int, names: NameTable, instances: Instances
+        self, loop: Loop, settings: Settings, seed: int, names: NameTable, instances: Back
     ) -> None:
         self._loop = loop
         self._settings = settings
@@ -157,6 +175,14 @@
             api.Log: lambda action: logger.info("module: {}", action.text),
         }
 
+    def now(self) -> int:
+        """The loop's clock, in microseconds."""
+        return self._loop.now()
+
+    @property
+    def max_attempts(self) -> int:
+        return self._settings.max_attempts
+
     # The module
 
     def post(self, event: api.Event) -> None:
@@ -218,12 +244,37 @@
         ))
         return job
 
-    def abandon(self, job: Job) -> None:
-        """The client is gone."""
+    def abandon(self, job: Job, stop: bool = False) -> None:
+        """The client is gone; with `stop`, so that its executions are to end too."""
         if not job.answered:
             self._conclude(job)
             self.post(api.JobExpired(job.number))
             self._forget(job)
+        if stop:
+            for execution in [e for e in job.executions if not e.over]:
+                self._stop(execution, Outcome.CANCELLED)
+
+    def started(self, execution: Execution) -> None:
+        """An execution runs, as far as its protocol can tell."""
+        job = self._by_txn.get(execution.txn)
+        if job is not None and not execution.over and not execution.started:
+            execution.started = True
+            self.post(api.AttemptStarted(job.number, execution.index, execution.instance))
+
+    def begin(self, execution: Execution) -> bool:
+        """The answer begins to flow from this execution; False if it may not, since another one is bound.
+
+        Guards the one answer: from here on the request goes out no more (gRFC A6, "committed").
+        """
+        job = self._by_txn.get(execution.txn)
+        if job is None or job.answered or execution.over or job.bound not in (None, execution):
+            return False
+        if job.bound is None:
+            job.bound = execution
+            self.post(api.StreamBegan(job.number, execution.index, execution.instance))
+            for other in [e for e in job.executions if e is not execution and not e.over]:
+                self._stop(other, Outcome.CANCELLED)
+        return True
 
     def _conclude(self, job: Job) -> None:
         job.answered = True
@@ -241,6 +292,9 @@
         job.reply(answer)
         self._forget(job)
 
+    def _late(self, job: Job) -> bool:
+        return self._loop.now() >= job.deadline
+
     def _forget(self, job: Job) -> None:
         if job.answered and all(execution.over for execution in job.executions):
             self._jobs.pop(job.number, None)
@@ -256,7 +310,7 @@
             self._answer(job, Answer(Ending.FAILED if self._harmful(job) else Ending.REFUSED))
         else:
             logger.error("request {} had no answer from the module at its deadline", job.request.txn)
-            self._answer(job, Answer(Ending.FAILED))
+            self._answer(job, Answer(Ending.FAILED, late=True))
         self.post(api.JobExpired(job.number))
 
     def _refuse(self, action: api.Refuse) -> None:
@@ -266,10 +320,10 @@
         if self._harmful(job):
             # Guards against the promise that a repeat is harmless where something may have run.
             logger.error("request {} may have run and is not refused", job.request.txn)
-            self._answer(job, Answer(Ending.FAILED))
+            self._answer(job, Answer(Ending.FAILED, late=self._late(job)))
             return
         advice = min(action.retry_after, self._settings.max_retry_after)
-        self._answer(job, Answer(Ending.REFUSED, retry_after=advice))
+        self._answer(job, Answer(Ending.REFUSED, retry_after=advice, late=self._late(job)))
 
     def _harmful(self, job: Job) -> bool:
         cls = self._settings.classes[job.request.job_class]
@@ -280,7 +334,7 @@
     def _fail(self, action: api.Fail) -> None:
         job = self._jobs.get(action.job)
         if job is not None and not job.answered:
-            self._answer(job, Answer(Ending.FAILED))
+            self._answer(job, Answer(Ending.FAILED, late=self._late(job)))
 
     # Executions
 
@@ -294,12 +348,16 @@
             txn=request.txn, index=len(job.executions), instance=action.worker, method=request.method,
             target=request.target, headers=request.headers, body=request.body, sent=self._now,
             timeout_at=min(action.timeout_at or job.deadline, job.deadline),
-            repeatable=self._settings.classes[request.job_class].effect is Effect.SAFE,
+            repeatable=self._settings.classes[request.job_class].effect is Effect.SAFE, call=request.call,
+            unsafe=self._settings.classes[request.job_class].effect is Effect.UNSAFE,
         )
         earlier = [e for e in job.executions if e.instance == action.worker]
         job.executions.append(execution)
         if (
             job.answered
+            # Guards against a resend of what is bound, or of a request whose beginning is gone (gRFC A6).
+            or job.bound is not None
+            or (job.committed and execution.index > 0)
             or execution.timeout_at <= self._now
             or execution.index >= self._settings.max_attempts
             # Guards against two executions of a request at one instance: calls name no execution, so a late
@@ -312,8 +370,12 @@
         self._instances.execute(execution)
 
     def settle(self, execution: Execution, outcome: Outcome, report: api.LoadReport | None,
-               result: bytes = b"") -> None:
-        """An execution has ended; only the first word on it counts."""
+               result: bytes = b"", ending: Ending | None = None) -> None:
+        """An execution has ended; only the first word on it counts.
+
+        With `ending` that is the request's end too. So it is where the request was bound to this execution or
+        is not whole any more: then nothing else can answer it.
+        """
         if execution.over:
             return
         execution.over = True
@@ -321,8 +383,13 @@
         if execution.timer is not None:
             execution.timer.cancel()
         job = self._by_txn[execution.txn]
-        if outcome is Outcome.OK and not job.answered:
-            self._answer(job, Answer(Ending.SERVED, result))
+        if ending is None and outcome is Outcome.OK:
+            ending = Ending.SERVED
+        elif ending is None and (job.bound is execution or job.committed):
+            harmless = job.bound is None and outcome in PROVEN_NOT_RUN and not self._harmful(job)
+            ending = Ending.REFUSED if harmless else Ending.FAILED
+        if ending is not None and not job.answered:
+            self._answer(job, Answer(ending, result, late=self._late(job) and ending is not Ending.SERVED))
         took = max(0, self._loop.now() - execution.sent)
         logger.debug("request {} at {}: {} after {} us", execution.txn, execution.instance.decode(),
                      outcome.name.lower(), took)
@@ -353,7 +420,7 @@
         job = self._jobs.get(action.job)
         if job is not None and action.attempt < len(job.executions):
             execution = job.executions[action.attempt]
-            if not execution.over:
+            if not execution.over and job.bound is not execution:
                 self._stop(execution, Outcome.CANCELLED)
 
     def _stop(self, execution: Execution, outcome: Outcome) -> None:
--- a/pulleyroute/net/instance.py
+++ b/pulleyroute/net/instance.py
@@ -4,8 +4,8 @@
 
 import json
 import math
-from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 import h11
 from loguru import logger
@@ -45,10 +45,12 @@
     sent: int
     timeout_at: int
     repeatable: bool = True  # freely, whatever became of it
+    unsafe: bool = False  # never twice
     over: bool = False  # its outcome is known
     started: bool = False
     outcome: Outcome | None = None
     timer: Timer | None = None
+    call: object = None  # what a front that streams has bound to the request
     written: bool = field(default=False, init=False)  # the last byte is with the kernel
     kept: bool = field(default=False, init=False)  # sent on a connection kept from before
     accepted: bool = field(default=False, init=False)  # the instance answered 202
@@ -56,9 +58,23 @@
     task: Task | None = field(default=None, init=False)
 
 
-Ended = Callable[[Execution, Outcome, LoadReport | None], None]
-Rejected = Callable[[Execution], None]
-Probed = Callable[[WorkerId, Outcome, int, LoadReport | None], None]
+class Ended(Protocol):
+    """An execution's outcome."""
+
+    def __call__(self, execution: Execution, outcome: Outcome, report: LoadReport | None, /) -> None: ...
+
+
+class Rejected(Protocol):
+    """An instance can't use the request."""
+
+    def __call__(self, execution: Execution, /) -> None: ...
+
+
+class Probed(Protocol):
+    """A probe's outcome, and how many microseconds it took."""
+
+    def __call__(self, instance: WorkerId, outcome: Outcome, took: int, report: LoadReport | None,
+                 /) -> None: ...
 
 
 class Instances:
