Judge gRPC calls under seeded faults, and keep who turns one call away from being shut out

A rule holds only if something that can fail has looked. Faulty boxes on a virtual clock, a judge that knows only what boxes and clients saw, and mutants that it catches.

--- a/pulleyroute/grpc/back.py
+++ b/pulleyroute/grpc/back.py
@@ -24,6 +24,7 @@
 
 CONNECT_TIME = 1_000_000  # where the settings name no limit; up to the peer's first SETTINGS
 CONNECTIONS = 4  # to one instance at most, where one has no room for another stream
+QUEUED = 4.0  # calls that are held to wait at an instance that has just turned one away
 SLOTS = 100.0  # calls that an instance is held to take at once, until it says otherwise
 
 
@@ -123,6 +124,11 @@
         self._let_go(execution)
         execution.nacked = execution.nacked or word.nacked
         report = read_load(trailers, self.slots) or self._report(execution.instance)
+        if word.outcome is Outcome.FULL:
+            # Guards an instance that turns one away against being shut out for seconds: what is counted here
+            # would show room, and room shown but not given is how the decisions know one that leaves.
+            held = report.in_hand or 0.0
+            report = LoadReport(free_slots=0.0, in_hand=held, queued=held + QUEUED)
         if word.hold:
             self._loop.call_at(self._loop.now() + word.hold, lambda: self._settle(execution, word, report))
         else:
--- a/pulleyroute/grpc/decide.py
+++ b/pulleyroute/grpc/decide.py
@@ -72,8 +72,9 @@
     """An execution whose stream was reset with an HTTP/2 code, or whose connection broke (None)."""
     status = from_reset(code)
     if never_ran:
-        # gRFC A6, transparent retries: REFUSED_STREAM, or above a GOAWAY's last id.
-        return Word(Outcome.FULL, status, nacked=True)
+        # gRFC A6, transparent retries: REFUSED_STREAM, or above a GOAWAY's last id, which says nothing of
+        # load.
+        return Word(Outcome.MOOT if code is None else Outcome.FULL, status, nacked=True)
     return Word(Outcome.RESET if code is None else Outcome.ERROR, status)
 
 
--- a/pulleyroute/grpc/front.py
+++ b/pulleyroute/grpc/front.py
@@ -128,14 +128,12 @@
     # Accepting
 
     def _accepting(self, listener: socket.socket) -> Coroutine[None]:
+        sock: socket.socket | None = None  # accepted, and waiting for room
         while True:
             for _ in range(ACCEPTS_A_TURN):
-                if len(self.connections) >= self.limits.connections and not self._shed():
-                    # Guards the process's descriptors: who comes now waits in the backlog.
-                    yield Wait(until=self._loop.now() + ACCEPT_PAUSE)
-                    continue
                 try:
-                    sock = listener.accept()[0]
+                    # Guards the others: nobody is shed before a connection is there that needs the room.
+                    sock = sock or listener.accept()[0]
                 except (BlockingIOError, InterruptedError):
                     break
                 except ConnectionError:
@@ -144,8 +142,14 @@
                     logger.bind(event="listener.cannot_accept").error("cannot accept: {}", exc)
                     yield Wait(until=self._loop.now() + ACCEPT_PAUSE)
                     break
+                if len(self.connections) >= self.limits.connections and not self._shed():
+                    break
                 self._welcome(sock)
-            yield Wait(listener.fileno(), READABLE)
+                sock = None
+            if sock is None:
+                yield Wait(listener.fileno(), READABLE)
+            else:
+                yield Wait(until=self._loop.now() + ACCEPT_PAUSE)  # all carry calls: it waits for one to end
 
     def _shed(self) -> bool:
         """Make room: one that carries no call goes."""
--- a/pulleyroute/net/http2.py
+++ b/pulleyroute/net/http2.py
@@ -81,7 +81,7 @@
 
 
 class GracefulConnection(h2.connection.H2Connection):
-    """h2's connection, with two of its habits changed."""
+    """h2's connection, with three of its habits changed."""
 
     def __init__(self, config: h2.config.H2Configuration, seen: Callable[[Frame], None]) -> None:
         super().__init__(config=config)
@@ -91,6 +91,15 @@
         self._seen(frame)  # guards against floods of frames that make no event
         return super()._receive_frame(frame)
 
+    def receive_data(self, data: bytes) -> list[h2.events.Event]:  # type: ignore[override]
+        events = super().receive_data(data)
+        rest = self.incoming_buffer._data
+        if len(rest) >= 9 and int.from_bytes(rest[:3], "big") > self.max_inbound_frame_size:
+            # Guards the memory: h2 looks at a frame's length only once all of it, up to 16 MiB, has come.
+            self._terminate_connection(Code.FRAME_SIZE_ERROR)
+            raise h2.exceptions.FrameTooLargeError("a frame is longer than was allowed")
+        return events
+
     def _receive_goaway_frame(self, frame: GoAwayFrame) -> tuple[list[Frame], list[h2.events.Event]]:
         # Guards streams that go on after a graceful GOAWAY (RFC 9113, 6.8): h2 would take the connection as
         # over.
@@ -228,7 +237,7 @@
         self._highest = 0  # the peer's newest stream
         self._ending = False  # leave once all is sent
         self._heard = loop.now()
-        self._idle_since = loop.now()
+        self._idle_since = self._began = loop.now()
         self._pinged = 0
         self._stuck_since = 0
         self.served = 0  # streams so far
@@ -239,6 +248,20 @@
     def __len__(self) -> int:
         return len(self._streams)
 
+    @property
+    def streams(self) -> list[Stream]:
+        return list(self._streams.values())
+
+    def forget(self, stream: Stream) -> None:
+        """Say nothing more on a stream: a stand-in's way to have never looked at it."""
+        self._drop(stream)
+
+    def inject(self, frame: bytes) -> None:
+        """Send a whole frame past h2, where h2 cannot send it or would take the connection as over."""
+        self._absorb()
+        self._give(frame)
+        self._stir()
+
     def has(self, stream: Stream) -> bool:
         return not self.closed and self._streams.get(stream.id) is stream
 
@@ -330,9 +353,7 @@
 
     def _goaway(self, last: int, code: Code, text: bytes = b"") -> None:
         # Written past h2, which would take no frame of any stream from here on.
-        frame = GoAwayFrame(0, last_stream_id=last, error_code=code, additional_data=text)
-        self._absorb()
-        self._give(frame.serialize())
+        self.inject(GoAwayFrame(0, last_stream_id=last, error_code=code, additional_data=text).serialize())
 
     def close(self, why: str = "closed", code: Code = Code.NO_ERROR) -> None:
         """End it now: say goodbye as far as that goes without waiting, and tell every stream's owner."""
@@ -340,6 +361,7 @@
             return
         self._goaway(self._highest if self._server else 0, code, why.encode() if code else b"")
         with contextlib.suppress(OSError, Broken):
+            self._pump()  # endings that are framed but not yet written go first
             self._write()
         self._end(why)
 
@@ -353,10 +375,7 @@
         self._loop.forget(self._sock.fileno())
         self._sock.close()
         for stream in streams:
-            if not (stream.ended_there and self._server):
-                stream.owner.broke(None, False, why)
-            else:
-                stream.owner.broke(int(Code.CANCEL), False, why)
+            stream.owner.broke(None, False, why)
         if self._gone is not None:
             self._gone(self, why)
         if self.task is not None and not self._inside:
@@ -370,7 +389,6 @@
 
     def _running(self) -> Coroutine[None]:
         why = "closed"
-        began = self._loop.now()
         try:
             if self._tls is not None and not self._server:
                 self._tls.start()
@@ -385,9 +403,9 @@
                 now = self._loop.now()
                 if self.closed:
                     return
-                if not self.ready and now - began > HANDSHAKE_TIME:
+                if not self.ready and now - self._began >= HANDSHAKE_TIME:
                     raise Broken("no settings in time")
-                if self._outbox and self._stuck_since and now - self._stuck_since > STUCK_TIME:
+                if self._outbox and self._stuck_since and now - self._stuck_since >= STUCK_TIME:
                     raise Broken("the peer takes nothing")
                 if not self._streams and not self._outbox and (self._ending or (
                         self.draining and self._last < LAST_ID)):
@@ -416,9 +434,9 @@
     def _until(self, now: int) -> int | None:
         """When to look again though nothing came."""
         if not self.ready:
-            return now + HANDSHAKE_TIME
+            return self._began + HANDSHAKE_TIME
         if self._outbox:
-            return now + STUCK_TIME
+            return (self._stuck_since or now) + STUCK_TIME
         if not self._streams:
             return self._idle_since + self.limits.idle + 1000 if self.limits.idle else None
         if not self._server and self.limits.ping_after:
@@ -562,7 +580,7 @@
             return
         for stream in [s for s in self._streams.values() if s.id > last]:
             self._drop(stream)  # above the last id: the peer says that it never saw it
-            stream.owner.broke(int(Code.REFUSED_STREAM), True, "above the last stream of a GOAWAY")
+            stream.owner.broke(None, True, "above the last stream of a GOAWAY")
         self._ending = True
 
     # Writing
--- /dev/null
+++ b/tests/grpc/test_campaign.py
@@ -0,0 +1,85 @@
+"""The judge over seeded faults, and proof that it can fail: mutants of the dispatcher and of what was
+seen."""
+
+import pytest
+from loguru import logger
+
+from pulleyroute.emulator.faulty import Act, Taken
+from pulleyroute.grpc import back, call, decide
+from pulleyroute.grpc.status import Status
+from pulleyroute.interface import Outcome
+from pulleyroute.lab.campaign import Asked, Campaign, judge
+from pulleyroute.net.host import Host
+
+
+@pytest.fixture(autouse=True)
+def quiet():
+    logger.remove()
+
+
+def play(seed=7, calls=300):
+    return Campaign(seed, calls).run()
+
+
+def test_no_rule_is_broken_and_a_seed_plays_the_same_again():
+    first, second = play(), play()
+    assert first.broken == []
+    assert first.executions > 200 and first.statuses[0] > 150 and len(first.acts) == 8
+    assert (first.statuses, first.acts) == (second.statuses, second.acts)
+
+
+def test_a_dispatcher_that_takes_a_reset_for_a_proof_is_caught(monkeypatch):
+    monkeypatch.setattr(call, "judge_break", lambda code, never: decide.Word(
+        Outcome.FULL, Status.UNAVAILABLE, nacked=True))
+    assert any("must never run twice" in line for line in play().broken)
+
+
+def test_a_dispatcher_that_resends_what_has_begun_is_caught(monkeypatch):
+    begin = Host.begin
+
+    def forgetful(self, execution):
+        went = begin(self, execution)
+        self._by_txn[execution.txn].bound = None
+        return went
+
+    monkeypatch.setattr(Host, "begin", forgetful)
+    assert any("answer had begun" in line or "endings" in line for line in play().broken)
+
+
+def test_a_dispatcher_that_does_not_tell_the_instance_is_caught(monkeypatch):
+    monkeypatch.setattr(call.Upstream, "give_up", lambda self: None)
+    assert any("was not told" in line for line in play().broken)
+
+
+def test_a_dispatcher_that_forgets_the_drain_is_caught(monkeypatch):
+    from pulleyroute.net.name_table import NameTable
+    monkeypatch.setattr(NameTable, "active", lambda self, instance: True)
+    monkeypatch.setattr(Campaign, "_list", lambda self,
+                        real=Campaign._list: None if self.drained else real(self))
+    assert any("after its drain" in line for line in play(seed=3, calls=600).broken)
+
+
+def test_a_dispatcher_that_swallows_an_ending_is_caught(monkeypatch):
+    reply = call.Call.reply
+    monkeypatch.setattr(call.Call, "reply", lambda self, answer: None if answer.late else reply(self, answer))
+    assert play().broken
+
+
+def test_a_dispatcher_that_shuts_out_who_turns_one_call_away_serves_worse(monkeypatch):
+    """What `Calls` reports beside a nack keeps the decisions from taking the instance for one that leaves."""
+    good = play().statuses[0]
+    monkeypatch.setattr(back, "QUEUED", -1e9)
+    assert play().statuses[0] < 0.7 * good
+
+
+@pytest.mark.parametrize("change, told", [
+    ({"endings": []}, "endings"), ({"endings": ["status", "status"]}, "endings"),
+    ({"endings": ["lost"]}, "endings"), ({"status": 13}, "status 13"),
+    ({"messages": b""}, "messages differ"), ({"ended_at": 2_000_001}, "after its deadline"),
+])
+def test_each_thing_that_the_judge_looks_at_can_fail(change, told):
+    fine = {"id": "c", "unsafe": True, "timeout": 1_000_000, "began": 1_000_000, "endings": ["status"],
+            "status": 0, "messages": b"\0\0\0\0\1\0", "ended_at": 1_100_000}
+    runs = [Taken("c", "b", Act("status", 0, 1), 1_000_000, 0, 1, told=True)]
+    assert judge(Asked(**fine), runs) == []
+    assert any(told in line for line in judge(Asked(**(fine | change)), runs))
--- /dev/null
+++ b/tests/grpc/test_pure.py
@@ -0,0 +1,186 @@
+"""The parts of gRPC that take bytes and numbers: heads, time-outs, statuses, routes, meter, replay, words."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pulleyroute.grpc.decide import Replay, judge_break, judge_trailers, read_pushback
+from pulleyroute.grpc.head import (
+    BadHead,
+    closing,
+    one,
+    read_head,
+    read_timeout,
+    request_headers,
+    write_timeout,
+)
+from pulleyroute.grpc.messages import OrcaReport, framed, read_load
+from pulleyroute.grpc.meter import Meter
+from pulleyroute.grpc.routes import Match, Routes
+from pulleyroute.grpc.status import Status, from_http, from_reset, quote, read_status, unquote
+from pulleyroute.interface import Outcome
+from pulleyroute.net.floods import ALLOWED, Floods
+from pulleyroute.net.host import Ending
+
+GOOD = [(b":method", b"POST"), (b":scheme", b"http"), (b":path", b"/a.B/C"), (b":authority", b"x"),
+        (b"te", b"trailers"), (b"content-type", b"application/grpc+proto")]
+
+
+@given(st.integers(0, 10**17))
+def test_a_timeout_is_never_written_longer_than_it_is_and_nearly_whole(span):
+    text = write_timeout(span)
+    assert len(text) <= 9
+    back = read_timeout(text)
+    assert back <= span and (span >= 10**8 * 3600 * 10**6 or span - back <= max(1, span // 10**4))
+
+
+@pytest.mark.parametrize("text", [b"", b"1", b"S", b"123456789S", b"-1S", b"1.5S", b"1 S", b"1s"])
+def test_a_timeout_out_of_form_is_refused(text):
+    with pytest.raises(BadHead):
+        read_timeout(text)
+
+
+def test_a_head_is_read_and_passed_on_without_what_belongs_to_the_hop():
+    head = read_head([*GOOD, (b"x-a", b"1"), (b"grpc-timeout", b"2S"), (b"grpc-previous-rpc-attempts", b"2"),
+                      (b"grpc-encoding", b"gzip"), (b"connection", b"close"), (b"x-a", b"2"),
+                      (b"authorization", b"secret")])
+    assert (head.service, head.method, head.timeout, head.attempts) == (b"a.B", b"C", 2_000_000, 2)
+    out = request_headers(head, b"https", 1_500_000, 3)
+    assert [(name, value) for name, value, *_ in out] == [
+        (b":method", b"POST"), (b":scheme", b"https"), (b":path", b"/a.B/C"), (b":authority", b"x"),
+        (b"te", b"trailers"), (b"grpc-timeout", b"1500000u"), (b"grpc-previous-rpc-attempts", b"3"),
+        (b"content-type", b"application/grpc+proto"), (b"x-a", b"1"), (b"grpc-encoding", b"gzip"),
+        (b"x-a", b"2"), (b"authorization", b"secret")]
+    assert out[-1][2:] == (True,)  # kept out of the compression's tables
+
+
+@pytest.mark.parametrize("change, http, status", [
+    ({b":method": b"GET"}, 405, Status.INTERNAL), ({b"content-type": b"text/html"}, 415, Status.UNKNOWN),
+    ({b"content-type": b"application/grpcweb"}, 415, Status.UNKNOWN),
+    ({b":path": b"/only"}, 200, Status.UNIMPLEMENTED), ({b":path": b"*"}, 200, Status.UNIMPLEMENTED),
+])
+def test_a_head_that_is_no_call_is_refused(change, http, status):
+    with pytest.raises(BadHead) as caught:
+        read_head([(name, change.get(name, value)) for name, value in GOOD])
+    assert (caught.value.http, caught.value.status) == (http, status)
+
+
+@given(st.text())
+def test_a_message_survives_its_quoting(text):
+    coded = quote(text)
+    assert all(0x20 <= byte <= 0x7E for byte in coded)
+    assert unquote(coded) == text.encode(errors="replace").decode()
+
+
+def test_statuses_from_elsewhere():
+    assert [read_status(text) for text in (b"0", b"16", b"17", b"-1", b"x", b"")] == [0, 16, 2, 2, 2, 2]
+    assert [from_http(code) for code in (400, 401, 403, 404, 429, 502, 503, 504, 500, 302)] == [
+        13, 16, 7, 12, 14, 14, 14, 14, 2, 2]
+    assert [from_reset(code) for code in (None, 0, 1, 2, 3, 5, 6, 7, 8, 9, 11, 12)] == [
+        14, 13, 13, 13, 13, 13, 13, 14, 1, 13, 8, 7]
+
+
+def test_the_most_exact_route_wins_whatever_the_order():
+    routes = Routes([(Match(prefix=""), 0), (Match(prefix="a."), 1), (Match(prefix="a.b"), 2),
+                     (Match("a.b.C"), 3),
+                     (Match("a.b.C", "Do"), 4)])
+    assert [routes.find(*each) for each in ((b"a.b.C", b"Do"), (b"a.b.C", b"Else"), (b"a.b.D", b"Do"),
+                                            (b"a.x", b"Do"),
+                                            (b"z", b"Do"))] == [4, 3, 2, 1, 0]
+    assert Routes([(Match("a"), 1)]).find(b"ab", b"c") is None
+    assert routes.serves(b"a.b.C") and not Routes([(Match("a"), 1)]).serves(b"b")
+    for wrong in ([(Match("a"), 1), (Match("a"), 2)], [(Match(), 1)], [(Match("a", prefix="b"), 1)]):
+        with pytest.raises(ValueError):
+            Routes(wrong)
+
+
+@given(st.lists(st.binary(max_size=40), max_size=20), st.lists(st.integers(1, 30), min_size=1))
+def test_the_meter_counts_messages_however_they_are_cut(messages, cuts):
+    data, meter, i = b"".join(framed(message) for message in messages), Meter(40), 0
+    while data:
+        size = cuts[i % len(cuts)]
+        assert meter.feed(data[:size])
+        data, i = data[size:], i + 1
+    assert meter.count == len(messages) and meter.between
+
+
+def test_the_meter_refuses_a_message_as_soon_as_its_length_is_read():
+    assert Meter(10).feed(framed(b"x" * 10)) and not Meter(10).feed(framed(b"x" * 11)[:5])
+
+
+@given(st.lists(st.binary(min_size=1, max_size=30), max_size=20), st.data())
+def test_a_replay_gives_back_what_came_from_any_offset_that_is_kept(chunks, data):
+    replay = Replay(50)
+    for chunk in chunks:
+        replay.add(chunk)
+    whole = b"".join(chunks)
+    offset = data.draw(st.integers(0, len(whole)))
+    assert b"".join(replay.after(offset)) == whole[offset:] and replay.over == (len(whole) > 50)
+    replay.let_go(offset)
+    assert replay.kept_from <= offset and b"".join(replay.after(offset)) == whole[offset:]
+    if not replay.whole:
+        with pytest.raises(ValueError):
+            replay.after(replay.kept_from - 1)
+
+
+def trailers(status, *more):
+    return [(b"grpc-status", b"%d" % status), *more]
+
+
+def test_what_an_instances_word_means():
+    nack = (b"x-turned-away", b"1")
+    wait = (b"grpc-retry-pushback-ms", b"200")
+    free = {"committed": False, "left": 1_000_000, "unsafe": False, "last": False}
+    assert judge_trailers(200, trailers(0), **free).ending is Ending.SERVED
+    assert judge_trailers(200, trailers(13), **free).ending is Ending.FAILED
+    assert judge_trailers(200, trailers(14), **free).ending is None  # the decisions say whether again
+    assert judge_trailers(200, trailers(8), **free).ending is Ending.FAILED
+    assert judge_trailers(200, trailers(8, wait), **free) == judge_trailers(200, trailers(8, wait), **free)
+    assert judge_trailers(200, trailers(8, wait), **free).hold == 200_000
+    marked = judge_trailers(200, trailers(14, nack), **free | {"unsafe": True})
+    assert marked.outcome is Outcome.FULL and marked.nacked and marked.ending is None
+    assert not judge_trailers(200, trailers(5, nack), **free).nacked
+    committed = judge_trailers(200, trailers(14, nack, wait), **free | {"committed": True})
+    assert committed.ending is Ending.FAILED and not committed.nacked and not committed.hold
+    assert judge_trailers(200, trailers(14, wait),
+                          **free | {"unsafe": True}).hold == 0  # it goes out no more
+    assert judge_trailers(200, trailers(14, wait), **free | {"last": True}).hold == 0
+    assert judge_trailers(200, trailers(14, wait), **free | {"left": 100_000}).ending is Ending.FAILED
+    assert judge_trailers(503, [], **free).status is Status.UNAVAILABLE
+    assert judge_trailers(200, [], **free).status is Status.INTERNAL
+    assert judge_break(7, True).outcome is Outcome.FULL and judge_break(None, True).outcome is Outcome.MOOT
+    assert judge_break(None, False).outcome is Outcome.RESET
+    assert judge_break(2, False).outcome is Outcome.ERROR
+    texts = (b"0", b"5", b"-1", b"", b"1.5")
+    assert [read_pushback([(b"grpc-retry-pushback-ms", text)]) for text in texts] == [0, 5000, -1, -1, -1]
+    assert read_pushback([]) is None
+
+
+def test_load_reports_in_all_three_forms():
+    import base64
+    report = OrcaReport(application_utilization=0.25, rps_fractional=3)
+    report.named_metrics["queue"] = 2
+    coded = base64.b64encode(report.SerializeToString()).rstrip(b"=")
+    for name, value in ((b"endpoint-load-metrics-bin", coded),
+                        (b"endpoint-load-metrics", b"TEXT application_utilization=0.25,queue=2"),
+                        (b"endpoint-load-metrics",
+                         b'JSON {"application_utilization":0.25,"named_metrics":{"queue":2}}')):
+        load = read_load([(name, value)], 8)
+        assert load.free_slots == 6 and load.queued == 2
+    for name, value in ((b"endpoint-load-metrics-bin", b"!!"), (b"endpoint-load-metrics", b"TEXT a=b"),
+                        (b"endpoint-load-metrics", b"JSON ["), (b"endpoint-load-metrics",
+                                                                b"TEXT cpu_utilization=nan"),
+                        (b"other", b"")):
+        assert read_load([(name, value)], 8) is None
+
+
+@pytest.mark.parametrize("kind", list(ALLOWED))
+def test_a_flood_is_one_that_lasts_beyond_its_burst(kind):
+    floods, burst = Floods(), int(ALLOWED[kind].burst)
+    assert all(floods.take(kind, 0) for _ in range(burst)) and not floods.take(kind, 0)
+    assert floods.take(kind, 10_000_000) and Floods().take("unknown", 0)
+
+
+def test_advice_is_rounded_up_so_that_nobody_comes_early():
+    assert one(closing(Status.UNAVAILABLE, "x", 1), b"grpc-retry-pushback-ms") == b"1"
+    assert one(closing(Status.UNAVAILABLE, "x", 1_500_001), b"grpc-retry-pushback-ms") == b"1501"
