--- a/pulleyroute/grpc/front.py
+++ b/pulleyroute/grpc/front.py
@@ -27,6 +27,9 @@
 ACCEPT_PAUSE = 20_000
 FULL_ADVICE = 1_000_000
 DRAIN_TIME = 30_000_000
+# One count for all listeners of the process: guards against two calls of one id at a pool, where a listener
+# that drains and the one that follows it have the same name.
+_NUMBERS = itertools.count(1)
 
 
 @dataclass(slots=True, frozen=True)
@@ -67,7 +70,6 @@
         self.calls: set[Call] = set()
         self.connections: set[Http2] = set()
         self.counts = dict.fromkeys(Status, 0)
-        self._numbers = itertools.count(1)
         self._listener: socket.socket | None = None
         self._acceptor: Task | None = None
         self.stopping = False
@@ -212,7 +214,7 @@
         self.calls.add(call)
         stream.owner = call
         request = Request(
-            txn=f"{self.name}-{next(self._numbers)}", job_class=target.job_class,
+            txn=f"{self.name}-{next(_NUMBERS)}", job_class=target.job_class,
             remaining=target.give_up if head.timeout is None else head.timeout,
             method=b"POST", target=head.path,
             headers=[], body=b"", is_repeat=head.attempts > 0, call=call,
