--- a/pulleyroute/net/floods.py
+++ b/pulleyroute/net/floods.py
@@ -19,7 +19,8 @@
 
 
 ALLOWED = {
-    "reset": Allowance(100, 400),
+    "reset": Allowance(200,
+                       1000),  # of streams that had no answer yet: to cancel what has begun costs its sender
     "ping": Allowance(10, 100),
     "settings": Allowance(5, 50),
     "priority": Allowance(200, 2000),
--- a/pulleyroute/net/frames.py
+++ b/pulleyroute/net/frames.py
@@ -125,4 +125,4 @@
     return window_frame(stream, what) if isinstance(what, int) else data_frame(stream, what)
 
 
-_KINDS = {2: "priority", 3: "reset", 4: "settings", 6: "ping", WINDOW_UPDATE: "window"}
+_KINDS = {2: "priority", 4: "settings", 6: "ping", WINDOW_UPDATE: "window"}
--- a/pulleyroute/net/http2.py
+++ b/pulleyroute/net/http2.py
@@ -134,7 +134,7 @@
 class Stream:
     """One stream. Owns what waits to be sent on it."""
 
-    __slots__ = ("_credit", "_fin", "_pending", "_size", "_trailers", "connection", "ended_here",
+    __slots__ = ("_credit", "_fin", "_pending", "_size", "_trailers", "answered", "connection", "ended_here",
                  "ended_there",
                  "id", "owner")
 
@@ -147,6 +147,7 @@
         self._fin = False
         self._trailers: Headers | None = None
         self._credit = 0  # consumed and not yet told
+        self.answered = False
         self.ended_here = False
         self.ended_there = False
 
@@ -310,6 +311,7 @@
     def head(self, stream: Stream, headers: Headers, end: bool) -> None:
         if not self.has(stream):
             return
+        stream.answered = True
         with contextlib.suppress(h2.exceptions.H2Error):
             self._send_head(stream.id, headers, end)
         if end:
@@ -678,6 +680,8 @@
     def _on_reset(self, event: h2.events.StreamReset) -> None:
         stream = self._streams.get(event.stream_id)
         if stream is not None:
+            if not stream.answered:
+                self._count("reset")
             self._drop(stream)
             code = int(event.error_code)
             stream.owner.broke(code, code == Code.REFUSED_STREAM, f"reset with code {code}")
