--- a/pulleyroute/grpc/back.py
+++ b/pulleyroute/grpc/back.py
@@ -237,9 +237,9 @@
         """Costs the instance nothing while its connections stand; else it is whether one comes up."""
         site = self._sites.setdefault(instance, Site())
         if not site.doubted or site.connections:
-            # Not before the event in hand is over: the module hears one thing at a time.
-            self._loop.call_at(self._loop.now(), lambda: self.probed(
-                instance, Outcome.OK, 0, self._report(instance)))
+            # At once, so that a burst right after the start finds room: without a word of an instance the
+            # decisions give it one call. The host keeps it until the event in hand is over.
+            self.probed(instance, Outcome.OK, 0, self._report(instance))
         else:
             self._loop.spawn(self._probing(instance, site), "probe")
 
