Share one listener between the fronts, and let go of connections to instances that left

The accepting loop stood twice; a listener of jobs that a reload took away listened on; a gRPC instance that left kept its connections for good.

--- a/pulleyroute/grpc/back.py
+++ b/pulleyroute/grpc/back.py
@@ -25,6 +25,7 @@
 CONNECT_TIME = 1_000_000  # where the settings name no limit; up to the peer's first SETTINGS
 CONNECTIONS = 4  # to one instance at most, where one has no room for another stream
 QUEUED = 4.0  # calls that are held to wait at an instance that has just turned one away
+SWEEP = 5_000_000  # between two looks for connections to instances that have left
 SLOTS = 100.0  # calls that an instance is held to take at once, until it says otherwise
 
 
@@ -53,6 +54,7 @@
         self.ended: Ended = lambda execution, outcome, report: None
         self.rejected: Rejected = lambda execution: None
         self.probed: Probed = lambda instance, outcome, took, report: None
+        self._sweeping = False
         self.host: Host | None = None  # set once it is made
 
     @property
@@ -148,6 +150,21 @@
 
     # Connections
 
+    def _sweep(self) -> None:
+        """Let go of connections to instances that have left, once nothing runs there.
+
+        Guards the descriptors where instances come and go: the connections would stay open for ever.
+        """
+        for instance, site in list(self._sites.items()):
+            if not self._names.active(instance) and not site.out:
+                for connection in list(site.connections):
+                    connection.close("the instance has left")
+                if not site.connections and site.connecting is None:
+                    del self._sites[instance]
+        self._sweeping = any(site.connections for site in self._sites.values())
+        if self._sweeping:
+            self._loop.call_at(self._loop.now() + SWEEP, self._sweep)
+
     def _connect(self, instance: WorkerId, site: Site) -> None:
         if site.connecting is None or site.connecting.done:
             site.connecting = Task(self._loop, self._connecting(instance, site), "grpc connection")
@@ -190,14 +207,17 @@
             return
         connection.on_ready = None
         site.doubted = False
+        site.connecting = None
         site.connections.append(connection)
+        if not self._sweeping:
+            self._sweeping = True
+            self._loop.call_at(self._loop.now() + SWEEP, self._sweep)
         while site.waiting and connection.room:
             execution = next(iter(site.waiting))
             del site.waiting[execution]
             self._open(connection, self._upstreams[execution])
         if site.waiting:
             # Their turn comes on another connection, or they are told that there is no room.
-            site.connecting = None
             waiting, site.waiting = list(site.waiting), {}
             for execution in waiting:
                 self._upstreams.pop(execution)
--- a/pulleyroute/grpc/front.py
+++ b/pulleyroute/grpc/front.py
@@ -19,13 +19,11 @@
 from pulleyroute.net.buffers import BufferPool, Ledger
 from pulleyroute.net.host import Host, Request
 from pulleyroute.net.http import Headers
-from pulleyroute.net.http2 import Http2, Limits, Owner, Stream
-from pulleyroute.net.loop import READABLE, Coroutine, Loop, Task, Wait
+from pulleyroute.net.http2 import FLOOD, Http2, Limits, Owner, Stream
+from pulleyroute.net.listener import Listener
+from pulleyroute.net.loop import Loop
 from pulleyroute.net.tls import Tls
 
-BACKLOG = 1024
-ACCEPTS_A_TURN = 64
-ACCEPT_PAUSE = 20_000
 FULL_ADVICE = 1_000_000
 DRAIN_TIME = 30_000_000
 # One count for all listeners of the process: guards against two calls of one id at a pool, where a listener
@@ -71,28 +69,15 @@
         self.calls: set[Call] = set()
         self.connections: set[Http2] = set()
         self.counts = dict.fromkeys(Status, 0)
-        self._listener: socket.socket | None = None
-        self._acceptor: Task | None = None
+        self._listener = Listener(loop, f"listener {name}", self._room, self._shed, self._welcome)
         self.stopping = False
 
     def listen(self, address: tuple[str, int]) -> None:
-        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
-        try:
-            listener.setblocking(False)
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            listener.bind(address)
-            listener.listen(BACKLOG)
-        except OSError:
-            listener.close()
-            raise
-        self._listener = listener
-        self._acceptor = self._loop.spawn(self._accepting(listener), f"listener {self.name}")
+        self._listener.listen(address)
 
     @property
     def address(self) -> tuple[str, int]:
-        assert self._listener is not None
-        host, port = self._listener.getsockname()
-        return host, port
+        return self._listener.address
 
     def apply(self, routes: Routes[Target], limits: FrontLimits, context: ssl.SSLContext | None) -> None:
         """Other routes, limits and certificate from now on; calls and connections that are open go on."""
@@ -105,11 +90,7 @@
         if self.stopping:
             return
         self.stopping = True
-        if self._acceptor is not None:
-            self._acceptor.cancel()
-        if self._listener is not None:
-            self._loop.forget(self._listener.fileno())
-            self._listener.close()
+        self._listener.close()
         for connection in list(self.connections):
             connection.drain()
         self._loop.call_at(self._loop.now() + self.limits.drain, self._cut)
@@ -130,29 +111,8 @@
 
     # Accepting
 
-    def _accepting(self, listener: socket.socket) -> Coroutine[None]:
-        sock: socket.socket | None = None  # accepted, and waiting for room
-        while True:
-            for _ in range(ACCEPTS_A_TURN):
-                try:
-                    # Guards the others: nobody is shed before a connection is there that needs the room.
-                    sock = sock or listener.accept()[0]
-                except (BlockingIOError, InterruptedError):
-                    break
-                except ConnectionError:
-                    continue
-                except OSError as exc:
-                    logger.bind(event="listener.cannot_accept").error("cannot accept: {}", exc)
-                    yield Wait(until=self._loop.now() + ACCEPT_PAUSE)
-                    break
-                if len(self.connections) >= self.limits.connections and not self._shed():
-                    break
-                self._welcome(sock)
-                sock = None
-            if sock is None:
-                yield Wait(listener.fileno(), READABLE)
-            else:
-                yield Wait(until=self._loop.now() + ACCEPT_PAUSE)  # all carry calls: it waits for one to end
+    def _room(self) -> bool:
+        return len(self.connections) < self.limits.connections or self._shed()
 
     def _shed(self) -> bool:
         """Make room: one that carries no call goes."""
@@ -163,12 +123,6 @@
         return False
 
     def _welcome(self, sock: socket.socket) -> None:
-        sock.setblocking(False)
-        try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        except OSError:
-            sock.close()
-            return
         tls = Tls(self.context, True) if self.context is not None else None
         connection = Http2(self._loop, self._pool, sock, True, self.limits.connection, tls, self._opened,
                            self._gone)
@@ -177,7 +131,10 @@
 
     def _gone(self, connection: Http2, why: str) -> None:
         self.connections.discard(connection)
-        logger.bind(event="client.connection_ended", listener=self.name).debug("connection ended: {}", why)
+        if why.startswith(FLOOD):
+            logger.bind(event="client.flood", listener=self.name).warning("connection ended: {}", why)
+        elif log.debugging:
+            logger.bind(event="client.connection_ended").debug("connection ended: {}", why)
 
     # Calls
 
--- a/pulleyroute/grpc/head.py
+++ b/pulleyroute/grpc/head.py
@@ -13,7 +13,6 @@
 from pulleyroute.net.http import Headers
 
 CONTENT_TYPE = b"application/grpc"
-LONGEST = 10**8 * 3600 * 10**6  # microseconds: eight digits of hours
 _TIMEOUT = re.compile(rb"([0-9]{1,8})([HMSmun])")
 _UNITS = {b"H": 3_600_000_000, b"M": 60_000_000, b"S": 1_000_000, b"m": 1000, b"u": 1}
 _PATH = re.compile(rb"/([^/]+(?:/[^/]+)*)/([^/]+)")
--- a/pulleyroute/net/http2.py
+++ b/pulleyroute/net/http2.py
@@ -57,6 +57,7 @@
 STUCK_TIME = 10_000_000  # a peer that takes nothing for so long is gone
 STEP = 500_000  # between the two GOAWAYs of a drain
 LOOKS = 64
+FLOOD = "too many frames"  # how the reason begins by which a flooding peer's connection ended
 
 @dataclass(slots=True, frozen=True)
 class Limits:
@@ -546,7 +547,7 @@
 
     def _count(self, kind: str) -> None:
         if self._server and not self._floods.take(kind, self._loop.now()):
-            raise Calm(f"too many frames: {kind}")
+            raise Calm(f"{FLOOD}: {kind}")
 
     def _take(self, data: bytes) -> None:
         try:
--- a/pulleyroute/net/service_client.py
+++ b/pulleyroute/net/service_client.py
@@ -18,11 +18,11 @@
 from pulleyroute.net.host import Answer, Call, Ending, Host, Request, State
 from pulleyroute.net.http import Broken, Headers, Late, Malformed, Message, Stream
 from pulleyroute.net.instance import read_report
+from pulleyroute.net.listener import Listener
 from pulleyroute.net.loop import READABLE, Coroutine, Loop, Task, Wait, Woken
 
 READY = b"/-/ready"
 CALLBACK = b"/callback"
-BACKLOG = 1024
 REQUEST_TIME = 10_000_000  # from a request's first byte to its last
 IDLE_TIME = 90_000_000  # between two requests
 # A stranger has not made a whole valid request yet. Its first byte must come so soon after connecting, and
@@ -33,8 +33,6 @@
 STRANGER_SHARE = 0.25  # where more of the connections are strangers, no known client is shed for another
 SHED_LOOKS = 16  # connections looked at for one to shed
 WRITE_TIME = 10_000_000
-ACCEPT_PAUSE = 20_000  # after running out of descriptors
-ACCEPTS_A_TURN = 64
 EARLY_BYTES = 64 * 1024  # read ahead of an answer at most
 STOP_QUIET = 700_000  # after SIGTERM: connections stop coming, and no exit before this
 STOP_LONGEST = 3_000_000  # SIGKILL comes that much later, or the longest give-up time where that is shorter
@@ -90,8 +88,7 @@
         self._silent: Line = OrderedDict()  # strangers that have sent nothing
         self._begun: Line = OrderedDict()  # strangers that have sent part of a request
         self._idle: Line = OrderedDict()  # known ones between two requests
-        self._listener: socket.socket | None = None
-        self._acceptor: Task | None = None
+        self.listener = Listener(loop, "listener", self._room, self._shed, self._welcome)
         self._stopping = False
         self._closing = False  # after SIGTERM: no connection is kept any more
         self._quiet = False  # after SIGTERM: no new connection is expected
@@ -100,23 +97,11 @@
         self.left: Callable[[], None] = loop.stop  # once nothing is owed and no connection is left
 
     def listen(self, address: tuple[str, int]) -> None:
-        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
-        try:
-            listener.setblocking(False)
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            listener.bind(address)
-            listener.listen(BACKLOG)
-        except OSError:
-            listener.close()
-            raise
-        self._listener = listener
-        self._acceptor = self._loop.spawn(self._accepting(listener), "listener")
+        self.listener.listen(address)
 
     @property
     def address(self) -> tuple[str, int]:
-        assert self._listener is not None
-        host, port = self._listener.getsockname()
-        return host, port
+        return self.listener.address
 
     def allow(self, most: int, most_jobs: int) -> None:
         """Other budgets from now on."""
@@ -156,31 +141,8 @@
 
     # Accepting
 
-    def _accepting(self, listener: socket.socket) -> Coroutine[None]:
-        sock: socket.socket | None = None  # accepted, and waiting for room
-        while True:
-            for _ in range(ACCEPTS_A_TURN):
-                try:
-                    # Guards the others: nobody is shed before a connection is there that needs the room.
-                    sock = sock or listener.accept()[0]
-                except (BlockingIOError, InterruptedError):
-                    break
-                except ConnectionError:
-                    continue
-                except OSError as exc:
-                    # Guards against EMFILE: the listener stays readable, and the loop would spin.
-                    logger.error("cannot accept: {}", exc)
-                    self._shed()
-                    yield Wait(until=self._loop.now() + ACCEPT_PAUSE)
-                    break
-                if len(self._connections) >= self._most and not self._shed():
-                    break
-                self._welcome(sock)
-                sock = None
-            if sock is None:
-                yield Wait(listener.fileno(), READABLE)
-            else:
-                yield Wait(until=self._loop.now() + ACCEPT_PAUSE)
+    def _room(self) -> bool:
+        return len(self._connections) < self._most or self._shed()
 
     def _shed(self) -> bool:
         """Make room for a new connection: strangers go first, the silent ones before the others.
@@ -213,12 +175,6 @@
             line[connection] = None
 
     def _welcome(self, sock: socket.socket) -> None:
-        sock.setblocking(False)
-        try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        except OSError:
-            sock.close()
-            return
         stream = Stream(self._loop, self._pool, sock, server=True, ledger=self._ledger)
         connection = Connection(stream, self._loop.now())
         self._connections.add(connection)
--- a/pulleyroute/service/assembly.py
+++ b/pulleyroute/service/assembly.py
@@ -203,6 +203,7 @@
             self._leaving.append(front)
         jobs = self.clients.pop(name, None)
         if jobs is not None:
+            jobs.left = jobs.listener.close
             jobs.stop()
 
     def _clear(self) -> None:
--- a/tests/grpc/test_calls.py
+++ b/tests/grpc/test_calls.py
@@ -454,3 +454,22 @@
     assert again.head()["grpc-previous-rpc-attempts"] == "3"
     again.whole().answer(b"")
     assert call.status() == 0 and scene.done()
+
+
+def test_connections_to_an_instance_that_left_are_closed_once_nothing_runs_there():
+    scene = Scene(boxes=2)
+    client = scene.client()
+    calls, seen = [], []
+    while len({each.peer for each in seen}) < 2:  # until both have one
+        calls.append(client.call(SAFE, timeout="60S"))
+        seen.append(scene.arrived())
+    left = scene.boxes["s-1"].peers[0]
+    scene.list("s-0")
+    scene.loop.skip(7 * SECOND)
+    assert not left.pull() or not left.gone  # its calls run on
+    for each in seen:
+        each.whole().answer(b"")
+    assert [call.status() for call in calls] == [0] * len(calls)
+    scene.loop.skip(7 * SECOND)
+    scene.loop.until(lambda: left.pull() and left.gone)
+    assert not scene.boxes["s-0"].peers[0].gone and b"s-1" not in scene.back._sites
--- a/tests/net/test_history.py
+++ b/tests/net/test_history.py
@@ -132,6 +132,6 @@
         referee.step(*step)
     referee.step("pass", 6 * SECOND // MS)
     assert not referee.scene.host.open and not referee.scene.loop.errors and not referee.scene.host.faults
-    for sock in (referee.scene.discovery.sock, referee.scene.clients._listener,
+    for sock in (referee.scene.discovery.sock, referee.scene.clients.listener.sock,
                  *(r.sock for r in referee.scene.runners.values()), *(p.sock for _, p in referee.peers)):
         sock.close()
--- a/tests/net/test_service_client.py
+++ b/tests/net/test_service_client.py
@@ -185,7 +185,7 @@
 
 def test_running_out_of_descriptors_pauses_the_listener(monkeypatch):
     scene = Scene()
-    listener = scene.clients._listener
+    listener = scene.clients.listener.sock
     calls = []
 
     class Poor:
@@ -197,8 +197,8 @@
                 raise OSError(24, "Too many open files")
             return listener.accept()
 
-    scene.clients._acceptor.cancel()
-    scene.loop.spawn(scene.clients._accepting(Poor()), "listener")
+    scene.clients.listener.task.cancel()
+    scene.loop.spawn(scene.clients.listener.accepting(Poor()), "listener")
     client = scene.ask()
     scene.loop.settle()
     assert len(calls) == 1  # it does not spin
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -108,5 +108,6 @@
     assert inside == {"pulleyroute", *(f"pulleyroute.{name}" for name in (
         "__main__", "interface", "rules", "settings", "net", "net.buffers", "net.config", "net.host",
         "net.http",
-        "net.instance", "net.log", "net.loop", "net.moderation", "net.name_table", "net.process",
+        "net.instance", "net.listener", "net.log", "net.loop", "net.moderation", "net.name_table",
+        "net.process",
         "net.service_client"))}
