Judge whole runs by a referee that knows the four rules, and ask a pool's discovery at once

Every driver to come needs one judge: it hears events of clients, boxes and the list, in whatever time, and tells each broken rule with its request's history. The demo's verdict is now its.

--- a/pulleyroute/emulator/book.py
+++ b/pulleyroute/emulator/book.py
@@ -4,7 +4,6 @@
 
 import threading
 import time
-from collections import Counter
 from dataclasses import dataclass, field
 
 
@@ -20,33 +19,23 @@
 
 @dataclass(slots=True)
 class Book:
-    """Shared by all stand-ins of one run; owns the record."""
+    """Shared by all stand-ins of one run; owns the record. Times in seconds of the monotonic clock."""
 
     runs: list[Run] = field(default_factory=list)
     drained: dict[str, float] = field(default_factory=dict)  # box: when discovery told of its drain
-    answers: Counter[str] = field(default_factory=Counter)  # request: final answers that its client saw
+    asked: dict[str, tuple[str, float]] = field(default_factory=dict)  # request: its kind, and when
+    answers: list[tuple[str, str,
+                        float]] = field(default_factory=list)  # request, ending, when its client had it
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
     def began(self, request: str, kind: str, box: str) -> None:
         with self._lock:
             self.runs.append(Run(request, kind, box, time.monotonic()))
 
-    def answered(self, request: str) -> None:
+    def ask(self, request: str, kind: str) -> None:
         with self._lock:
-            self.answers[request] += 1
-
-    def broken(self, unsafe: set[str], asked: set[str], grace: float = 1.55) -> list[str]:
-        """Each broken rule as one line: twice run, not one answer, new work after a drain (seconds of
-        grace)."""
-        found: list[str] = []
-        counts = Counter(run.request for run in self.runs if run.kind in unsafe)
-        found += [f"{request} is of a class that must never run twice and ran {count} times"
-                  for request, count in counts.items() if count > 1]
-        found += [f"{request} had {self.answers[request]} final answers"
-                  for request in sorted(asked) if self.answers[request] != 1]
-        for run in self.runs:
-            told = self.drained.get(run.box)
-            if told is not None and run.at > told + grace:
-                late = run.at - told
-                found.append(f"{run.request} went to {run.box} {late:.2f} s after its drain was told")
-        return found
+            self.asked[request] = kind, time.monotonic()
+
+    def answered(self, request: str, ending: str) -> None:
+        with self._lock:
+            self.answers.append((request, ending, time.monotonic()))
--- a/pulleyroute/lab/demo.py
+++ b/pulleyroute/lab/demo.py
@@ -22,8 +22,11 @@
 from hdrh.histogram import HdrHistogram
 
 from pulleyroute.emulator import Book, CallBox, Discovery, JobBox
+from pulleyroute.lab.referee import Answered, Asked, Breach, Event, Figures, Kind, Sent, Told, judge
 
-UNSAFE = {"card-charge", "shop.Charges"}
+WAIT = 5  # seconds that a client waits
+KINDS = {name: Kind(effect, WAIT * 1_000_000) for name, effect in (
+    ("balance-check", "safe"), ("card-charge", "unsafe"), ("shop.Look", "safe"), ("shop.Charges", "unsafe"))}
 CONFIG = """
 name = "demo"
 listener "jobs"  {{
@@ -97,6 +100,20 @@
         return int(sock.getsockname()[1])
 
 
+def verdict(book: Book) -> list[Breach]:
+    """The rules broken in a run, by what its stand-ins and clients saw."""
+    def micros(seconds: float) -> int:
+        return int(seconds * 1e6)
+
+    events: list[Event] = [Asked(micros(at), request, kind) for request, (kind, at) in book.asked.items()]
+    events += [Sent(micros(run.at), run.request, i, run.box) for i, run in enumerate(book.runs)]
+    events += [Told(micros(at), box, "leaving") for box, at in book.drained.items()]
+    events += [Answered(micros(at), request, ending) for request, ending, at in book.answers
+               if ending != "lost"]
+    # On one machine the clients' threads share its time with all the rest: theirs is a little late.
+    return judge(events, KINDS, Figures(slack=500_000), until=micros(time.monotonic()) + 60_000_000)
+
+
 class Demo:
     """One run; owns the stand-ins, the program's process and the load."""
 
@@ -171,7 +188,7 @@
             due = began + i / self.rate
             while (now := time.monotonic()) < due:
                 time.sleep(min(0.02, due - now))
-                tick((now - began) / self.seconds, sum(self.book.answers.values()))
+                tick((now - began) / self.seconds, len(self.book.answers))
             if not drained and i > count / 3:
                 drained = True
                 discovery.put(boxes[0].name, boxes[0].address, "leaving")
@@ -182,6 +199,7 @@
             kind = self.random.choice(list(self.rows))
             request = f"r{i}"
             self.kinds[request] = kind
+            self.book.ask(request, kind)
             self.rows[kind].asked += 1
             work = self._call if kind.startswith("shop.") else self._job
             thread = threading.Thread(target=work, args=(channel if work == self._call else jobs, request,
@@ -193,12 +211,14 @@
             thread.join(30)
         channel.close()
         seconds = time.monotonic() - began
-        tick(1.0, sum(self.book.answers.values()))
+        tick(1.0, len(self.book.answers))
         executions = Counter(self.kinds[run.request] for run in self.book.runs)
-        return Result(self.rows, executions, self.book.broken(UNSAFE, set(self.kinds)), seconds)
+        return Result(self.rows, executions,
+                      [f"{each.rule.value}: {each.text}" for each in verdict(self.book)],
+                      seconds)
 
     def _done(self, request: str, kind: str, ending: str, began: float) -> None:
-        self.book.answered(request)
+        self.book.answered(request, ending)
         with self._lock:
             row = self.rows[kind]
             row.endings[ending] += 1
@@ -210,7 +230,8 @@
         connection = http.client.HTTPConnection(host, int(port), timeout=30)
         ending = "failed"
         try:
-            connection.request("POST", f"/{kind}", b"{}", {"X-Txn": request, "X-Remaining-Ms": "5000"})
+            connection.request("POST", f"/{kind}", b"{}", {"X-Txn": request,
+                                                           "X-Remaining-Ms": str(WAIT * 1000)})
             status = connection.getresponse().status
             ending = {200: "served", 503: "refused", 429: "refused"}.get(status, "failed")
         except (OSError, http.client.HTTPException):
@@ -223,10 +244,10 @@
         began = time.monotonic()
         try:
             if self.random.random() < 0.5:
-                channel.unary_unary(f"/{kind}/Unary")(b"hello", timeout=5, metadata=(("x-id", request),))
+                channel.unary_unary(f"/{kind}/Unary")(b"hello", timeout=WAIT, metadata=(("x-id", request),))
             else:
                 spread = channel.unary_stream(f"/{kind}/Spread")
-                list(spread(b"hello", timeout=5, metadata=(("x-id", request), ("x-count", "20"))))
+                list(spread(b"hello", timeout=WAIT, metadata=(("x-id", request), ("x-count", "20"))))
             ending = "served"
         except grpc.RpcError as exc:
             pushed = any(key == "grpc-retry-pushback-ms" for key, _ in exc.trailing_metadata() or ())
--- a/pulleyroute/service/assembly.py
+++ b/pulleyroute/service/assembly.py
@@ -154,6 +154,9 @@
             names.load_known(known_list(pool, running.revision))
         else:
             names.load_known({"revision": 0, "complete": True, "members": []})
+            # At once: the decisions would ask within 2.5 s, spread for the sake of many that start together,
+            # and until then there is nobody to take a job.
+            names.watch(True)
         return running
 
     def _renew(self, running: Running, pool: Pool, context: ssl.SSLContext | None) -> None:
--- a/pulleyroute/service/changes.py
+++ b/pulleyroute/service/changes.py
@@ -61,8 +61,12 @@
 
 
 def _core(pool: Pool) -> Pool:
-    """A pool without what changes in place: its instances, where the list comes from, certificates."""
-    return msgspec.structs.replace(pool, instance={}, discovery=None, tls=None)
+    """A pool without what changes in place: its instances, where the list comes from, certificates.
+
+    Whether there is a discovery at all stays: the decisions of a pool without one never ask for a list again.
+    """
+    asks = ("", 0) if pool.discovery is not None else None
+    return msgspec.structs.replace(pool, instance={}, discovery=asks, tls=None)
 
 
 def _place(listener: Listener) -> tuple[object, ...]:
