Let go of ended calls and of bytes that nobody will read

A timer kept each ended call, and what waited on its stream, until its deadline: 28 MiB for 500 cancelled calls, 6 KiB for each served one.

--- a/benchmarks/grpc_memory.py
+++ b/benchmarks/grpc_memory.py
@@ -88,13 +88,15 @@
         with tempfile.TemporaryDirectory() as folder, program(
                 Path(folder), {"box": f"127.0.0.1:{port}"}, slots=10_000) as started:
             before, held, after, count = asyncio.run(measure(started, streams))
+            again = asyncio.run(measure(started, streams))[1]
     finally:
         child.kill()
     each = (held - before) / count
-    lines = ["| streams | before | with silent readers | a stream | bound a stream | after their end |",
-             "| --- | --- | --- | --- | --- | --- |",
+    lines = ["| streams | before | silent readers | a stream | bound a stream | after | as many again |",
+             "| --- | --- | --- | --- | --- | --- | --- |",
              f"| {count} | {before / 2**20:.1f} MiB | {held / 2**20:.1f} MiB | {each / 1024:.1f} KiB | "
-             f"64 KiB of window and some KiB of objects | {after / 2**20:.1f} MiB |"]
+             f"64 KiB of window and some KiB of objects | {after / 2**20:.1f} MiB | "
+             f"{again / 2**20:.1f} MiB |"]
     print("\n".join(lines))
     if "--write" in sys.argv:
         Path("docs/measured/grpc-memory.md").write_text("\n".join([
@@ -104,7 +106,8 @@
             "window that it gives the instance (`window` of the pool, 65,535 bytes): nothing is read beyond",
             "it until the client has read.",
             f"Run on: {machine()}.", "", *lines, ""]))
-    return 0 if each < 80 * 1024 else 1
+    # What the first round held must serve the second: a tenth more would be memory that nobody lets go of.
+    return 0 if each < 80 * 1024 and again < held * 1.1 else 1
 
 
 if __name__ == "__main__":
--- a/pulleyroute/cli/serve.py
+++ b/pulleyroute/cli/serve.py
@@ -50,7 +50,7 @@
         raise typer.Exit(2) from None
     loop.spawn(heeding(source, lambda: reload(service, config), service.stop), "signals")
     gc.freeze()
-    gc.set_threshold(20_000, 20, 20)  # calls make much that dies young, and few cycles
+    gc.set_threshold(20_000, 10, 10)  # calls make much that dies young, and few cycles
     _told(service, made)
     loop.run()
     sink.close()
--- a/pulleyroute/grpc/front.py
+++ b/pulleyroute/grpc/front.py
@@ -25,6 +25,7 @@
 from pulleyroute.net.tls import Tls
 
 FULL_ADVICE = 1_000_000
+LOOK = 1_000_000  # between two looks at answers that have not been read
 DRAIN_TIME = 30_000_000
 # One count for all listeners of the process: guards against two calls of one id at a pool, where a listener
 # that drains and the one that follows it have the same name.
@@ -70,6 +71,7 @@
         self.connections: set[Http2] = set()
         self.counts = dict.fromkeys(Status, 0)
         self._listener = Listener(loop, f"listener {name}", self._room, self._shed, self._welcome)
+        self._unread: dict[Stream, int] = {}  # ended calls whose answers wait for their clients, until when
         self.stopping = False
 
     def listen(self, address: tuple[str, int]) -> None:
@@ -184,14 +186,32 @@
     def _over(self, call: Call, status: Status) -> None:
         self.calls.discard(call)
         self.counts[status] += 1
-        if call.stream.waiting and call.job is not None:
-            # Guards the memory against a client that never reads its answer to the end.
-            self._loop.call_at(max(call.job.deadline, self._loop.now()) + GRACE, call.stream.reset)
+        if call.stream.waiting and call.stream.open and call.job is not None:
+            self._unread[call.stream] = max(call.job.deadline, self._loop.now()) + GRACE
+            if len(self._unread) == 1:
+                self._loop.call_at(self._loop.now() + LOOK, self._look)
         if log.debugging:  # guards the hot path: a line that nobody reads costs as much as a head
             logger.bind(event="call.ended", path=call.head.path.decode(errors="replace"),
                         status=status.name).debug("call ended")
 
 
+    def _look(self) -> None:
+        """Forget the answers that have been read, end those that nobody reads.
+
+        Guards the memory twice: against a client that never reads to the end, and against keeping each call
+        that has ended until its deadline, which a timer of its own would do.
+        """
+        now = self._loop.now()
+        for stream, due in list(self._unread.items()):
+            if not stream.open:
+                del self._unread[stream]
+            elif now >= due:
+                del self._unread[stream]
+                stream.reset()
+        if self._unread:
+            self._loop.call_at(now + LOOK, self._look)
+
+
 class Ignored:
     """Owns a stream that has its answer: what still comes is read and dropped."""
 
--- a/pulleyroute/net/http2.py
+++ b/pulleyroute/net/http2.py
@@ -363,6 +363,8 @@
         self._stir()
 
     def _drop(self, stream: Stream) -> None:
+        # Guards the memory: whoever still knows the stream would keep what waited to be sent on it.
+        stream.cut()
         self._streams.pop(stream.id, None)
         self._stirred.pop(stream, None)
         self._starved.pop(stream, None)
@@ -421,6 +423,7 @@
         self._loop.forget(self._sock.fileno())
         self._sock.close()
         for stream in streams:
+            stream.cut()
             stream.owner.broke(None, False, why)
         if self._gone is not None:
             self._gone(self, why)
--- a/tests/grpc/test_calls.py
+++ b/tests/grpc/test_calls.py
@@ -1,9 +1,12 @@
 """Calls through the dispatcher, peer by scripted peer: endings, resends, deadlines, cancels, drains,
 windows."""
 
+import gc
+
 import pytest
 
 from pulleyroute.grpc import FrontLimits, Status
+from pulleyroute.grpc.call import Call
 from pulleyroute.grpc.messages import framed
 from pulleyroute.grpc.status import TABLE
 from pulleyroute.net.host import Ending
@@ -371,8 +374,10 @@
     other = scene.client().call(SAFE)
     scene.arrived().whole().answer(b"ok")
     assert other.status() == 0
+    (held,) = [call.stream for call in scene.front.calls]
     stalled.cut(8)
     assert seen.broken() == 8 and scene.done()
+    assert held.waiting == 0  # a timer kept them until the deadline: 28 MiB for 500 streams
 
 
 def test_a_sender_is_held_back_by_an_instance_that_does_not_read():
@@ -473,3 +478,30 @@
     scene.loop.skip(7 * SECOND)
     scene.loop.until(lambda: left.pull() and left.gone)
     assert not scene.boxes["s-0"].peers[0].gone and b"s-1" not in scene.back._sites
+
+
+def test_calls_that_have_ended_are_kept_by_nobody():
+    """Found by 500 calls a round that stayed until their deadlines, 100 s later."""
+    scene = Scene()
+    client = scene.client()
+    for _ in range(20):
+        call = client.call(SAFE, timeout="100S")
+        scene.arrived().whole().answer(b"x" * 100)
+        assert call.status() == 0
+    scene.loop.skip(3 * SECOND)
+    assert scene.done() and not scene.front._unread
+    gc.collect()
+    assert sum(isinstance(each, Call) for each in gc.get_objects()) <= 1
+
+
+def test_an_answer_that_nobody_reads_is_let_go_after_the_deadline():
+    scene = Scene()
+    client = scene.client({4: 0})  # its window lets nothing through
+    client.call(SAFE, timeout="2S")
+    scene.arrived().whole().answer(b"x" * 100)
+    scene.loop.until(lambda: scene.front._unread)
+    (stream,) = scene.front._unread
+    scene.loop.skip(5 * SECOND)
+    assert stream.open and stream.waiting
+    scene.loop.skip(4 * SECOND)
+    assert not stream.open and not stream.waiting and scene.done()
