--- a/pulleyroute/cli/serve.py
+++ b/pulleyroute/cli/serve.py
@@ -50,7 +50,8 @@
         raise typer.Exit(2) from None
     loop.spawn(heeding(source, lambda: reload(service, config), service.stop), "signals")
     gc.freeze()
-    gc.set_threshold(20_000, 10, 10)  # calls make much that dies young, and few cycles
+    gc.set_threshold(5_000, 5,
+                     5)  # an ended call is a cycle of some objects: guards against many waiting long
     _told(service, made)
     loop.run()
     sink.close()
--- a/pulleyroute/net/http2.py
+++ b/pulleyroute/net/http2.py
@@ -299,6 +299,9 @@
             raise Broken("no room for a stream")
         try:
             stream = Stream(self, self._h2.get_next_available_stream_id(), owner)
+            # h2 forgets closed streams when it counts the open ones, and only then: guards the memory, where
+            # each call left one behind.
+            self._h2._open_streams(1)
             self._h2._get_or_create_stream(stream.id, _ODD)
             self._send_head(stream.id, headers, end)
         except h2.exceptions.H2Error as exc:
--- a/tests/grpc/test_calls.py
+++ b/tests/grpc/test_calls.py
@@ -10,7 +10,7 @@
 from pulleyroute.grpc.messages import framed
 from pulleyroute.grpc.status import TABLE
 from pulleyroute.net.host import Ending
-from pulleyroute.net.http2 import Limits
+from pulleyroute.net.http2 import LOOKS, Limits
 from tests.grpc.scene import HEAD, Scene
 from tests.net.scene import MS, SECOND
 
@@ -505,3 +505,15 @@
     assert stream.open and stream.waiting
     scene.loop.skip(4 * SECOND)
     assert not stream.open and not stream.waiting and scene.done()
+
+
+def test_h2_keeps_no_streams_that_are_closed():
+    """Found by 24,000 unary calls that left 30 MiB behind: ours is the side that opened them."""
+    scene = Scene()
+    client = scene.client()
+    for _ in range(300):
+        call = client.call(SAFE)
+        scene.arrived().whole().answer(b"")
+        assert call.status() == 0
+    for connection in (*scene.front.connections, *scene.back._sites[b"s-0"].connections):
+        assert len(connection._h2.streams) <= 2 * LOOKS
