Drop state of the gRPC parts that nobody reads, and a wrapper of one call

A connection's count of streams, a mark on an instance's last word, and back's second name for the host's callback were written and never read.

--- a/pulleyroute/grpc/back.py
+++ b/pulleyroute/grpc/back.py
@@ -79,7 +79,7 @@
         if len([c for c in site.connections if not c.draining]) >= CONNECTIONS:
             execution.nacked = True  # it was not sent: the instance lets no more streams in
             self._let_go(execution)
-            self._tell(execution, Outcome.FULL, self._report(execution.instance))
+            self.ended(execution, Outcome.FULL, self._report(execution.instance))
             return
         site.waiting[execution] = None
         self._connect(execution.instance, site)
@@ -89,7 +89,7 @@
         if not self._names.active(execution.instance):
             # Guards the drain rule: the instance left the table while the connection came up.
             self._let_go(execution)
-            self._tell(execution, Outcome.MOOT, None)
+            self.ended(execution, Outcome.MOOT, None)
             return
         left = execution.timeout_at - self._loop.now()
         headers = request_headers(call.head, b"https" if self.context is not None else b"http", left,
@@ -101,7 +101,7 @@
         except Broken:
             execution.written = False
             self._let_go(execution)
-            self._tell(execution, Outcome.MOOT, None)
+            self.ended(execution, Outcome.MOOT, None)
             return
         call.attach(upstream)
         if self.host is not None:
@@ -140,9 +140,6 @@
         if self.host is not None:
             self.host.settle(execution, word.outcome, report, ending=word.ending)
 
-    def _tell(self, execution: Execution, outcome: Outcome, report: LoadReport | None) -> None:
-        self.ended(execution, outcome, report)
-
     def give_up(self, execution: Execution) -> None:
         upstream = self._let_go(execution)
         if upstream is not None:
@@ -203,7 +200,7 @@
             waiting, site.waiting = list(site.waiting), {}
             for execution in waiting:
                 self._let_go(execution)
-                self._tell(execution, Outcome.CONNECT_FAILED, None)
+                self.ended(execution, Outcome.CONNECT_FAILED, None)
             return
         connection.on_ready = None
         site.doubted = False
--- a/pulleyroute/grpc/call.py
+++ b/pulleyroute/grpc/call.py
@@ -38,7 +38,6 @@
     headers: Headers = field(default_factory=list)  # a trailers-only head, to be passed on as it is
     trailers: Headers = field(default_factory=list)
     text: str = ""
-    bound: bool = False
 
 
 class Call:
@@ -258,8 +257,7 @@
         self._over = True
         word = self._judge(trailers)
         self.call.said = Said(word.status, trailers=passed(trailers) or closing(word.status,
-                                                                                "no status came"),
-                              bound=True)
+                                                                                "no status came"))
         self._finish(self, word, trailers)
 
     def _conclude(self, is_grpc: bool) -> None:
--- a/pulleyroute/net/http2.py
+++ b/pulleyroute/net/http2.py
@@ -262,7 +262,6 @@
         self._pinged = 0
         self._stuck_since = 0
         self._alarm: Timer | None = None
-        self.served = 0  # streams so far
         self.task: Task | None = None
 
     # Streams
@@ -307,7 +306,6 @@
         except h2.exceptions.H2Error as exc:
             raise Broken(str(exc)) from None
         self._streams[stream.id] = stream
-        self.served += 1
         stream.ended_here = end
         self._stir()
         return stream
@@ -638,7 +636,6 @@
                 self._h2.reset_stream(number, Code.REFUSED_STREAM)
             return
         self._highest = max(self._highest, number)
-        self.served += 1
         stream = Stream(self, number, _NOBODY)
         stream.ended_there = event.stream_ended is not None
         self._streams[number] = stream
