Give operators a door, true figures and a drain that lets clients go in time

Found by the tests: a member whose phase is a list or an object ended the watch with a TypeError (name_table._entry).

--- a/pulleyroute/__main__.py
+++ b/pulleyroute/__main__.py
@@ -9,6 +9,7 @@
 import os
 import sys
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from loguru import logger
@@ -17,9 +18,12 @@
 from pulleyroute.net import log
 from pulleyroute.net.buffers import BufferPool, Ledger
 from pulleyroute.net.config import Config, ConfigError, load_config
+from pulleyroute.net.duty import Phase
+from pulleyroute.net.figures import Figures, Gauges
 from pulleyroute.net.host import Host
 from pulleyroute.net.instance import Instances
 from pulleyroute.net.loop import Loop
+from pulleyroute.net.management import DESCRIPTORS, Management, Verbs
 from pulleyroute.net.name_table import NameTable
 from pulleyroute.net.process import catch_signals, descriptors, heeding, on_error
 from pulleyroute.net.service_client import ServiceClient
@@ -49,6 +53,8 @@
     names: NameTable
     instances: Instances
     clients: ServiceClient
+    host: Host
+    figures: Figures
 
 
 def build(config: Config, loop: Loop) -> Parts:
@@ -56,8 +62,9 @@
     pool, ledger = BufferPool(), Ledger(readable(config))
     epoch = time.time_ns() // 1000 - loop.now()
     names = NameTable(loop, pool, config.discovery, config.settings, epoch)
-    budget = descriptors(config.sockets) - RESERVE
-    instances = Instances(loop, pool, names, config.settings, int(budget * INSTANCE_SHARE))
+    figures = Figures()
+    budget = budget_of(config)
+    instances = Instances(loop, pool, names, config.settings, int(budget * INSTANCE_SHARE), figures)
     host = Host(loop, config.settings, config.seed, names, instances)
     if config.known is not None:
         try:
@@ -65,12 +72,55 @@
         except ValueError as exc:
             raise ConfigError(f"known: {exc}") from None
     clients = ServiceClient(
-        loop, pool, ledger, host, config.settings, int(budget * CLIENT_SHARE), int(budget * JOB_SHARE))
+        loop, pool, ledger, host, config.settings, int(budget * CLIENT_SHARE), int(budget * JOB_SHARE),
+        figures)
+    parts = Parts(config, ledger, names, instances, clients, host, figures)
+    listening(config.listen, clients.listen)
+    if config.management is not None:
+        listening(config.management, Management(loop, pool, verbs(parts)).listen)
+    return parts
+
+
+def listening(address: tuple[str, int], listen: Callable[[tuple[str, int]], None]) -> None:
+    """Open a listener; raises ConfigError where its address can't be had."""
     try:
-        clients.listen(config.listen)
+        listen(address)
     except OSError as exc:
-        raise ConfigError(f"cannot listen on {config.listen[0]}:{config.listen[1]}: {exc.strerror}") from None
-    return Parts(config, ledger, names, instances, clients)
+        raise ConfigError(f"cannot listen on {address[0]}:{address[1]}: {exc.strerror}") from None
+
+
+def budget_of(config: Config) -> int:
+    """How many descriptors are for clients and instances."""
+    aside = RESERVE + (DESCRIPTORS if config.management is not None else 0)
+    return descriptors(config.sockets) - aside
+
+
+def verbs(parts: Parts) -> Verbs:
+    """What the operators' calls do."""
+    clients = parts.clients
+
+    def status() -> tuple[int, bytes]:
+        return 200 if clients.duty.takes_clients else 503, f"{clients.duty.phase.value}\n".encode()
+
+    def figures() -> tuple[int, bytes]:
+        gauges = Gauges(parts.host.open, parts.names.size, parts.host.avoided)
+        return 200, parts.figures.render((cls.name for cls in parts.config.settings.classes), gauges)
+
+    def standby() -> tuple[int, bytes]:
+        clients.standby()
+        return told("standby")
+
+    def active() -> tuple[int, bytes]:
+        clients.active()
+        return told("active")
+
+    def told(call: str) -> tuple[int, bytes]:
+        phase = clients.duty.phase
+        logger.bind(event=f"operators.{call}").info("operators: {}, and now {}", call, phase.value)
+        return 409 if phase is Phase.ENDING else 200, f"{phase.value}\n".encode()
+
+    return {b"/status": {b"GET": status}, b"/status/metrics": {b"GET": figures},
+            b"/standby": {b"POST": standby}, b"/active": {b"POST": active}}
 
 
 def reload(parts: Parts) -> None:
@@ -78,6 +128,7 @@
     try:
         config = load_config(os.environ, reload=True)
     except ConfigError as exc:
+        parts.figures.conf_invalid += 1
         # Guards the service against a file that can't be used: what is in force goes on.
         logger.bind(event="config.refused").error("configuration not read again: {}", exc)
         return
@@ -85,13 +136,14 @@
     logger.bind(event="config.reloaded").info(
         "configuration read again: discovery {}:{}, limits.sockets {}, limits.memory_mb {}",
         *config.discovery, config.sockets, config.memory_mb)
-    for name in ("name", "listen", "settings"):
+    for name in ("name", "listen", "management", "settings"):
         if getattr(config, name) != getattr(old, name):
             logger.warning("a change of {} needs a restart", name)
     if config.sockets != old.sockets:
-        budget = descriptors(config.sockets) - RESERVE
+        budget = budget_of(config)
         parts.instances.allow(int(budget * INSTANCE_SHARE))
         parts.clients.allow(int(budget * CLIENT_SHARE), int(budget * JOB_SHARE))
+    parts.figures.conf_loaded += 1
     parts.ledger.most = readable(config)
     parts.names.move(config.discovery)
     old.discovery, old.sockets, old.memory_mb = config.discovery, config.sockets, config.memory_mb
--- a/pulleyroute/net/config.py
+++ b/pulleyroute/net/config.py
@@ -32,6 +32,7 @@
     memory_mb: int
     known: Any  # the list of instances as last held, in discovery's form; None if there is none
     settings: Settings
+    management: tuple[str, int] | None  # the operators' door; None for none
 
 
 def load_config(environ: Mapping[str, str], reload: bool = False) -> Config:
@@ -64,6 +65,7 @@
             memory_mb=_limit(data.get("limits"), "memory_mb", MEMORY_MB, LEAST_MEMORY_MB),
             known=data.get("known"),
             settings=settings,
+            management=_address(environ.get("PROXY_MANAGEMENT") or data.get("management"), "management"),
         )
     except (SettingsError, ValueError) as exc:
         raise ConfigError(f"{path}: {exc}") from None
@@ -75,6 +77,10 @@
     return value
 
 
+def _address(value: object, what: str) -> tuple[str, int] | None:
+    return None if value is None else parse_address(_text(value, what))
+
+
 def _seed(value: object) -> int:
     """Hexadecimal digits, or a number."""
     if isinstance(value, int):
--- a/pulleyroute/net/host.py
+++ b/pulleyroute/net/host.py
@@ -217,6 +217,12 @@
             except Exception:
                 logger.bind(event="action.failed").exception("could not carry out {}", type(action).__name__)
 
+    @property
+    def avoided(self) -> int:
+        """How many listed instances the decisions push nothing to for now."""
+        rules, now = self._dispatcher, self._loop.now()
+        return sum(1 for worker in rules.ready if rules.avoids(worker, now))
+
     # Requests
 
     @property
--- a/pulleyroute/net/http.py
+++ b/pulleyroute/net/http.py
@@ -201,7 +201,7 @@
 
     # The server's side
 
-    def request(self, until: int | None) -> Coroutine[Message | None]:
+    def request(self, until: int | None, limit: int = BODY_LIMIT) -> Coroutine[Message | None]:
         """The next request; None if the client ended the connection between requests."""
         event = yield from self.event(until)
         if not isinstance(event, h11.Request):
@@ -219,9 +219,9 @@
         if size > HEAD_LIMIT:  # the parser limits only what is incomplete: how it is cut must not matter
             raise Malformed(431, "the head is too large")
         length = message.one(b"content-length")
-        if length is not None and (len(length) > 9 or int(length) > BODY_LIMIT):
+        if length is not None and (len(length) > 9 or int(length) > limit):
             raise Malformed(413, "the body is too large")
-        message.body = yield from self.body(until)
+        message.body = yield from self.body(until, limit)
         return message
 
     def answer(
--- a/pulleyroute/net/instance.py
+++ b/pulleyroute/net/instance.py
@@ -12,6 +12,7 @@
 
 from pulleyroute.interface import LoadReport, Outcome, ReportSource, Settings, WorkerId
 from pulleyroute.net.buffers import BufferPool
+from pulleyroute.net.figures import Figures
 from pulleyroute.net.http import Broken, Crowded, Headers, Late, Malformed, Message, Stream, connect
 from pulleyroute.net.loop import Coroutine, Loop, Task, Timer
 from pulleyroute.net.name_table import NameTable
@@ -81,13 +82,15 @@
     """Owns every connection to an instance."""
 
     def __init__(
-        self, loop: Loop, pool: BufferPool, names: NameTable, settings: Settings, most: int
+        self, loop: Loop, pool: BufferPool, names: NameTable, settings: Settings, most: int,
+        figures: Figures | None = None,
     ) -> None:
         self._loop = loop
         self._pool = pool
         self._names = names
         self._settings = settings
         self._most = most  # connections at once
+        self._figures = figures or Figures()
         self._count = 0
         self._idle: dict[WorkerId, list[tuple[int, Stream]]] = {}
         self._idle_time = int(settings.keepalive * IDLE_SHARE) or 2_000_000
@@ -220,6 +223,7 @@
                 self.ended(execution, Outcome.CONNECT_FAILED, None)
                 return
             execution.written = True
+            self._figures.sends += 1
             try:
                 # No resending from here on, whatever the connection does: the request may have run.
                 answer = yield from stream.response(execution.timeout_at + ANSWER_GRACE)
--- a/pulleyroute/net/name_table.py
+++ b/pulleyroute/net/name_table.py
@@ -35,6 +35,7 @@
 
     address: tuple[str, int]
     active: bool
+    listed: bool = True  # not one that left
 
 
 class NameTable:
@@ -64,6 +65,11 @@
         member = self._members.get(instance)
         return member is not None and member.active
 
+    @property
+    def size(self) -> int:
+        """How many instances the list names."""
+        return sum(1 for member in self._members.values() if member.listed)
+
     def load_known(self, known: Any) -> None:
         """Take the list that came with the configuration; raises ValueError if it is malformed."""
         self.tell(self._take(known, cached=True))
@@ -189,9 +195,10 @@
         kind = ListKind.CACHED if cached else ListKind.FULL if complete else ListKind.DELTA
         if kind is not ListKind.DELTA:
             for member in self._members.values():
-                member.active = False
+                member.active = member.listed = False
         for entry, address in read:
-            self._members[entry.worker] = Member(address, entry.state is WorkerState.READY)
+            self._members[entry.worker] = Member(
+                address, entry.state is WorkerState.READY, entry.state is not WorkerState.GONE)
         self._version = version
         changes = ", ".join(f"{e.worker.decode()} {e.state.name.lower()}" for e, _ in read[:8])
         logger.bind(event="names.changed", version=version).info(
@@ -202,7 +209,8 @@
         if not isinstance(item, dict):
             raise ValueError("a member is not an object")
         name, phase = item.get("id"), item.get("phase")
-        if not isinstance(name, str) or not name or phase not in _PHASES:
+        # Guards the watch: a phase that is a list or an object can't be looked up, and would end it for good.
+        if not isinstance(name, str) or not name or not isinstance(phase, str) or phase not in _PHASES:
             raise ValueError(f"member {name!r} with phase {phase!r}")
         size, started, cell = item.get("size", 1.0), item.get("up_since_ms", 0), item.get("cell", 0)
         for value in (size, started, cell):
--- a/pulleyroute/net/service_client.py
+++ b/pulleyroute/net/service_client.py
@@ -15,6 +15,8 @@
 
 from pulleyroute.interface import Settings, WorkerId
 from pulleyroute.net.buffers import BufferPool, Ledger
+from pulleyroute.net.duty import Duty
+from pulleyroute.net.figures import Figures
 from pulleyroute.net.host import Answer, Call, Ending, Host, Request, State
 from pulleyroute.net.http import Broken, Headers, Late, Malformed, Message, Stream
 from pulleyroute.net.instance import read_report
@@ -29,15 +31,12 @@
 # the last one of that request so soon.
 STRANGER_SILENCE = 2_500_000
 STRANGER_TIME = 2_800_000
+LATE_SILENCE = 300_000  # the same once idle connections are being closed
 SHED_AGE = 100_000  # a stranger is not shed before: its request may be on the way
 STRANGER_SHARE = 0.25  # where more of the connections are strangers, no known client is shed for another
 SHED_LOOKS = 16  # connections looked at for one to shed
 WRITE_TIME = 10_000_000
 EARLY_BYTES = 64 * 1024  # read ahead of an answer at most
-STOP_QUIET = 700_000  # after SIGTERM: connections stop coming, and no exit before this
-STOP_LONGEST = 3_000_000  # SIGKILL comes that much later, or the longest give-up time where that is shorter
-STOP_CLOSE = 0.5  # the kept connections end when this share of the time until SIGKILL is over
-STOP_MARGIN = 150_000  # and so long before it all that came late is answered
 HELD = 2  # requests held for each that may wait: executions go on for a while after their client left
 FULL_RETRY_AFTER = 1_000_000  # advice where there is no room for another request
 LABELS = ("slots", "memory")
@@ -54,7 +53,7 @@
 class Connection:
     """One accepted connection."""
 
-    __slots__ = ("answer", "known", "line", "since", "stream", "task")
+    __slots__ = ("answer", "known", "line", "since", "stream", "task", "working")
 
     def __init__(self, stream: Stream, since: int) -> None:
         self.stream = stream
@@ -62,6 +61,7 @@
         self.known = False  # it has made a whole valid request: no stranger any more
         self.line: Line | None = None  # where it stands to be shed
         self.task: Task | None = None
+        self.working = False  # a whole message of it is being dealt with
         self.answer: Answer | None = None
 
 
@@ -73,7 +73,7 @@
 
     def __init__(
         self, loop: Loop, pool: BufferPool, ledger: Ledger, host: Host, settings: Settings, most: int,
-        most_jobs: int,
+        most_jobs: int, figures: Figures | None = None,
     ) -> None:
         self._loop = loop
         self._pool = pool
@@ -89,15 +89,13 @@
         self._begun: Line = OrderedDict()  # strangers that have sent part of a request
         self._idle: Line = OrderedDict()  # known ones between two requests
         self.listener = Listener(loop, "listener", self._room, self._shed, self._welcome)
-        self._stopping = False
-        self._closing = False  # after SIGTERM: no connection is kept any more
-        self._quiet = False  # after SIGTERM: no new connection is expected
-        self._late_from = 0  # after SIGTERM: what comes from here on must be answered by `_late_until`
-        self._late_until = 0
+        self.duty = Duty()
+        self._figures = figures or Figures()
         self.left: Callable[[], None] = loop.stop  # once nothing is owed and no connection is left
 
     def listen(self, address: tuple[str, int]) -> None:
         self.listener.listen(address)
+        self.duty.serve()
 
     @property
     def address(self) -> tuple[str, int]:
@@ -107,35 +105,49 @@
         """Other budgets from now on."""
         self._most, self._most_jobs = most, most_jobs
 
-    # Stopping
+    # Letting go
 
-    def stop(self) -> None:
-        """SIGTERM: keep serving, end the connections in good time, and leave once all is answered."""
-        if self._stopping:
-            return
-        self._stopping = True
-        now = self._loop.now()
-        kill = now + STOP_QUIET + min(STOP_LONGEST, max(cls.give_up for cls in self._settings.classes))
-        self._late_from, self._late_until = now + STOP_QUIET - STOP_MARGIN, kill - STOP_MARGIN
-        # Guards the clients whose dispatchers restart one after another: closed at once, they would find none
-        # while two are away; closed late, they have no time to find the next one before it goes too.
-        self._loop.call_at(max(now + STOP_QUIET, now + int((kill - now) * STOP_CLOSE)), self._close_idle)
-        self._loop.call_at(now + STOP_QUIET, self._now_quiet)
-
-    def _close_idle(self) -> None:
-        self._closing = True
-        for connection in [*self._silent, *self._idle]:
-            if connection.task is not None:
-                connection.task.nudge()
-        self._leave()
+    def stop(self, handed: bool = False) -> None:
+        """SIGTERM: keep serving, end the connections in good time, and leave once all is answered.
+
+        `handed`: another process takes the clients already.
+        """
+        longest = max(cls.give_up for cls in self._settings.classes)
+        if self.duty.end(self._loop.now(), longest, handed):
+            self._let_go()
+
+    def standby(self) -> None:
+        """Drain: new clients are not wanted, those that are here are sent elsewhere, the process stays."""
+        if self.duty.standby(self._loop.now()):
+            self._let_go()
 
-    def _now_quiet(self) -> None:
-        self._quiet = True
+    def active(self) -> None:
+        """Back to work; what is not closed yet stays open."""
+        self.duty.active()
+
+    def _let_go(self) -> None:
+        for at in self.duty.due(self._loop.now()):
+            self._loop.call_at(at, self._look)
+
+    def _look(self) -> None:
+        """One of the duty's times has come: end what may be held no longer."""
+        now = self._loop.now()
+        if now >= self.duty.idle_from:
+            # A nudge and no close: what has come, and is not read yet, is served.
+            for connection in [*self._silent, *self._idle]:
+                if connection.task is not None:
+                    connection.task.nudge()
+        if now >= self.duty.cut_from:
+            reading = [c for c in self._connections if not c.working and c.line is not self._lingering]
+            for connection in reading:
+                connection.stream.farewell(SHED)
+                if connection.task is not None:
+                    connection.task.cancel()
         self._leave()
 
     def _leave(self) -> None:
         """Stop the loop once nothing is owed any more."""
-        if self._quiet and not self._host.open and not self._connections:
+        if self.duty.quiet(self._loop.now()) and not self._host.open and not self._connections:
             logger.bind(event="stopped").info("all is answered, leaving")
             self.left()
 
@@ -187,6 +199,7 @@
         stream = connection.stream
         try:
             while True:
+                connection.working = False
                 try:
                     if not (yield from self._first_byte(connection)):
                         return
@@ -195,8 +208,11 @@
                     else:
                         until = connection.since + STRANGER_TIME
                         self._stand(connection, self._begun)
+                    if self._loop.now() >= self.duty.cut_from:
+                        until = min(until, self._loop.now() + LATE_SILENCE)
                     message = yield from stream.request(until)
                     self._stand(connection, None)
+                    connection.working = True
                     if message is None:
                         return
                     going = yield from self._route(connection, message)
@@ -209,6 +225,7 @@
                     yield from self._tell(stream, 408, b"the request did not come in time", close=True)
                     going = False
                 if not going:
+                    connection.working = True
                     self._stand(connection, self._lingering)
                     yield from stream.linger()
                     return
@@ -222,7 +239,7 @@
             self._stand(connection, None)
             self._connections.discard(connection)
             stream.close()
-            if self._quiet:
+            if self.duty.quiet(self._loop.now()):
                 self._loop.call_at(self._loop.now(), self._leave)
 
     def _first_byte(self, connection: Connection) -> Coroutine[bool]:
@@ -237,11 +254,17 @@
                 count = stream.pull()
                 if count is not None:
                     return count > 0
+                if self._loop.now() >= self.duty.idle_from:
+                    # Guards the drain: one that connects now is given a moment, and not a stranger's time.
+                    until = min(until, connection.since + LATE_SILENCE)
                 woken = yield Wait(stream.fileno(), READABLE, until)
                 if woken is not Woken.READY and stream.pull() is not None:
                     return True  # what came at the last moment is still served
                 if woken is Woken.LATE and not connection.known:
                     raise Late
+                if woken is Woken.NUDGED and not connection.known and (
+                        self._loop.now() < connection.since + LATE_SILENCE):
+                    continue  # its request may be on the way
                 if woken is not Woken.READY:
                     return False
         finally:
@@ -255,7 +278,8 @@
         kind = [(b"Content-Type", b"text/plain; charset=utf-8")] if body else []
         headers = [*kind, *(headers or [])]
         until = self._loop.now() + WRITE_TIME
-        return (yield from stream.answer(status, body, headers, close or self._closing, until))
+        close = close or self.duty.closing(self._loop.now())
+        return (yield from stream.answer(status, body, headers, close, until))
 
     def _route(self, connection: Connection, message: Message) -> Coroutine[bool]:
         stream = connection.stream
@@ -264,8 +288,8 @@
             if message.method not in (b"GET", b"HEAD"):
                 return (yield from self._tell(stream, 405, headers=[(b"Allow", b"GET, HEAD")]))
             connection.known = True
-            if self._stopping:
-                return (yield from self._tell(stream, 503, b"stopping"))
+            if not self.duty.ready:
+                return (yield from self._tell(stream, 503, self.duty.phase.value.encode()))
             return (yield from self._tell(stream, 200, b"ready\n"))
         if path == CALLBACK:
             if message.method != b"POST":
@@ -289,18 +313,22 @@
         if self._host.knows(request.txn):
             return (yield from self._tell(stream, 409, b"a request of this id is being worked on"))
         connection.known = True
+        name = self._settings.classes[job_class].name
         if self._host.open >= self._most_jobs or self._host.held >= HELD * self._most_jobs:
             # Guards the descriptors that instances' calls need, without which no job would ever end, and the
             # memory that clients could fill who leave at once and come again.
+            self._figures.ended(name, 503)
             return (yield from self._tell(stream, 503, b"full", [retry_after(FULL_RETRY_AFTER)]))
-        if self._stopping and self._loop.now() >= self._late_from:
-            if self._loop.now() >= self._late_until:
-                return (yield from self._tell(stream, 503, b"stopping", close=True))
-            # Guards what comes late against SIGKILL: it gets an answer before that, whatever becomes of it.
-            request.answer_by = self._late_until
-        return (yield from self._working(connection, request))
-
-    def _working(self, connection: Connection, request: Request) -> Coroutine[bool]:
+        now = self._loop.now()
+        if self.duty.refuses(now):
+            self._figures.ended(name, 503)
+            # On standby: others serve, so there is no reason to wait.
+            return (yield from self._tell(stream, 503, self.duty.phase.value.encode(), close=True))
+        # Guards what comes late against SIGKILL: it gets an answer before that, whatever becomes of it.
+        request.answer_by = self.duty.answer_by(now)
+        return (yield from self._working(connection, request, name))
+
+    def _working(self, connection: Connection, request: Request, name: str) -> Coroutine[bool]:
         """Hand a request to the host and wait for its answer, or for the client to go."""
         stream = connection.stream
 
@@ -320,7 +348,11 @@
                     raise Broken("the client is gone")
         finally:
             self._host.abandon(job)  # changes nothing once it is answered
-        return (yield from self._tell(stream, *_FORMS[answer.ending](answer)))
+        status, body, headers = _FORMS[answer.ending](answer)
+        going = yield from self._tell(stream, status, body, headers)
+        # Guards the truth of the count: a job ends with the last byte of its answer, and not before.
+        self._figures.ended(name, status)
+        return going
 
 
 def _refused(answer: Answer) -> tuple[int, bytes, Headers]:
--- a/pulleyroute/rules.py
+++ b/pulleyroute/rules.py
@@ -364,10 +364,14 @@
             free = min(free, 0.0)
         return free
 
+    def avoids(self, worker: Worker, now: int) -> bool:
+        """Whether nothing is pushed to it for now."""
+        return worker.down_until > now or (worker.holds > 0 and bool(worker.out))
+
     def weight(self, worker: Worker, job: Job) -> float:
         """Free slots net of own pushes since, and the exceptions."""
         now = self.now
-        if worker.down_until > now or (worker.holds and worker.out):
+        if self.avoids(worker, now):
             # Guards against a dead worker's last reading: it shows more free slots than the full ones alive.
             return 0.0
         free = self.room(worker, job)
--- a/tests/net/scene.py
+++ b/tests/net/scene.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import json
+import re
 import socket
 import time
+from types import SimpleNamespace
 
+from pulleyroute.__main__ import verbs
 from pulleyroute.interface import Settings
 from pulleyroute.net.buffers import BufferPool, Ledger
+from pulleyroute.net.figures import Figures
 from pulleyroute.net.host import Host
 from pulleyroute.net.instance import Instances
 from pulleyroute.net.loop import Loop
+from pulleyroute.net.management import Management
 from pulleyroute.net.name_table import NameTable
 from pulleyroute.net.service_client import ServiceClient
 from pulleyroute.settings import read_settings
@@ -138,16 +143,21 @@
         info = {**INFO, "caps": {**INFO["caps"], **caps}}
         self.settings: Settings = read_settings(info)[0]
         self.loop, pool = StillLoop(), BufferPool()
+        self.figures = Figures()
         self.discovery = Listener(self.loop)
         self.names = NameTable(self.loop, pool, self.discovery.address, self.settings, 0)
-        self.instances = Instances(self.loop, pool, self.names, self.settings, 20)
+        self.instances = Instances(self.loop, pool, self.names, self.settings, 20, self.figures)
         self.host = Host(self.loop, self.settings, 1, self.names, self.instances)
         self.runners = {f"s-{i}": Listener(self.loop) for i in range(instances)}
         self.names.load_known(self.table(*self.runners))
         self.ledger = Ledger(1024 * 1024)
         self.clients = ServiceClient(
-            self.loop, pool, self.ledger, self.host, self.settings, most, most_jobs)
+            self.loop, pool, self.ledger, self.host, self.settings, most, most_jobs, self.figures)
         self.clients.listen(("127.0.0.1", 0))
+        self.door = Management(self.loop, pool, verbs(SimpleNamespace(
+            clients=self.clients, host=self.host, names=self.names, figures=self.figures,
+            config=SimpleNamespace(settings=self.settings))))
+        self.door.listen(("127.0.0.1", 0))
 
     def table(self, *names: str, phase: str = "active", complete: bool = True, revision: int = 1) -> dict:
         return {"revision": revision, "complete": complete, "members": [
@@ -157,6 +167,25 @@
     def client(self) -> Peer:
         return Peer(self.loop, socket.create_connection(self.clients.address))
 
+    def operator(self, data: bytes = b"") -> Peer:
+        peer = Peer(self.loop, socket.create_connection(self.door.listener.address))
+        peer.send(data)
+        return peer
+
+    def operate(self, method: str, path: str) -> tuple[int, bytes]:
+        """An operator's call: its status and the body of the answer."""
+        peer = self.operator(f"{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        head, body = peer.message()
+        self.loop.until(lambda: peer.pull() is not None and peer.ended)  # one call a connection
+        peer.close()
+        return int(head.split()[1]), body
+
+    def shown(self) -> dict[str, int]:
+        """The figures, less those that are 0."""
+        lines = self.operate("GET", "/status/metrics")[1].decode().splitlines()
+        each = [re.fullmatch(r"app\.([a-z_.]+):(\d+)\|[cg]", line) for line in lines]
+        return {match[1]: int(match[2]) for match in each if int(match[2])}
+
     def ask(self, path: str = "/read", txn: str = "t1", remaining: object = 4000, body: bytes = b"hi",
             peer: Peer | None = None) -> Peer:
         peer = peer or self.client()
--- /dev/null
+++ b/tests/net/test_duty.py
@@ -0,0 +1,138 @@
+"""The state machine of service, by its calls alone; then what it does to connections."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pulleyroute.net.duty import NEVER, STANDBY_IDLE, Duty, Phase
+from tests.net.scene import SECOND, Scene
+
+LONGEST = 25 * SECOND
+
+
+def test_it_moves_only_where_the_table_says():
+    duty = Duty()
+    assert not duty.takes_clients and not duty.active()
+    duty.serve()
+    assert duty.ready and duty.standby(0) and not duty.standby(5) and duty.close_from == 0
+    duty.serve()
+    assert not duty.ready and duty.takes_clients and duty.active() and duty.ready
+    assert duty.close_from == duty.idle_from == duty.refuse_from == duty.cut_from == NEVER
+    assert duty.end(9, LONGEST) and not duty.active() and not duty.standby(10) and not duty.end(11, LONGEST)
+    assert duty.phase is Phase.ENDING and not duty.takes_clients
+
+
+@given(st.lists(st.tuples(st.sampled_from(["standby", "active", "end"]), st.integers(0, 5 * SECOND))))
+def test_nothing_is_held_past_the_pages_times_however_the_calls_come(calls):
+    duty, now, since = Duty(), 0, None
+    duty.serve()
+    for call, later in calls:
+        now += later
+        if call == "active":
+            duty.active()
+        else:
+            duty.standby(now) if call == "standby" else duty.end(now, LONGEST)
+        if duty.phase is Phase.STANDBY:
+            since = now if since is None else since
+        elif duty.phase is Phase.SERVING:
+            since = None
+        if since is not None:  # the drain that is on, or that an end has followed
+            assert duty.closing(max(now, since)) and duty.refuses(since + 2 * SECOND)
+            assert max(duty.idle_from, duty.cut_from) < since + 4 * SECOND
+        if duty.phase is Phase.ENDING:
+            assert duty.answer_by(now + SECOND) <= now + 3_700_000
+
+
+READY = b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+def known(scene):
+    peer = scene.client()
+    peer.send(READY)
+    assert b" 200 " in peer.message()[0]
+    return peer
+
+
+def gone(scene, peer):
+    return scene.loop.until(lambda: peer.pull() is not None and peer.ended)
+
+
+def done(scene, txn):
+    (execution,) = scene.host._by_txn[txn].executions
+    scene.loop.until(lambda: execution.written)
+    assert b" 204 " in scene.call(id=txn, state="done", result="r", **{"from": execution.instance.decode()})
+
+
+def test_a_drain_sends_clients_elsewhere_and_loses_nothing():
+    scene = Scene(instances=4)
+    idle, trickling, long, short = known(scene), known(scene), scene.client(), scene.client()
+    scene.ask("/charge", "t1", peer=long)
+    scene.ask("/charge", "t2", peer=short)
+    scene.loop.until(lambda: scene.host.open == 2)
+    trickling.send(b"POST /read HTTP/1.1\r\n")
+    scene.clients.standby()
+    scene.clients.standby()
+    done(scene, "t2")
+    assert b"connection: close" in short.message()[0].lower()
+    fresh = scene.client()
+    fresh.send(READY)
+    assert b" 503 " in fresh.message()[0]
+    scene.loop.skip(STANDBY_IDLE - 50_000)
+    scene.loop.settle()
+    assert not idle.pull() and not idle.ended  # the front has to see the no first
+    scene.loop.skip(100_000)
+    gone(scene, idle)
+    late = scene.ask(txn="t3")  # taken in time: it is served
+    scene.loop.until(lambda: scene.host.knows("t3"))
+    scene.loop.skip(800_000)
+    assert b" 503 " in scene.ask(txn="t4").message()[0]
+    scene.loop.skip(1_300_000)
+    assert b" 503 " in trickling.message()[0]
+    gone(scene, trickling)
+    done(scene, "t3")
+    done(scene, "t1")  # a call-back arrives during a drain as ever
+    for peer in (late, long):
+        head, body = peer.message()
+        assert b" 200 " in head and b"connection: close" in head.lower() and body == b"r"
+        gone(scene, peer)
+    scene.loop.skip(2 * SECOND)
+    assert not scene.clients._connections and not scene.loop.stopped
+
+
+def test_it_is_back_at_work_at_once_and_what_was_not_closed_stays():
+    scene = Scene()
+    kept = known(scene)
+    scene.clients.standby()
+    scene.loop.skip(STANDBY_IDLE // 2)
+    scene.clients.active()
+    scene.clients.standby()
+    scene.clients.active()
+    scene.loop.skip(5 * SECOND)  # timers of the drains that were called off change nothing
+    kept.send(READY)
+    assert b" 200 " in kept.message()[0]
+
+
+def test_sigterm_during_standby_ends_it_and_the_operators_cannot_call_it_back():
+    scene = Scene()
+    job = scene.ask("/charge")
+    scene.loop.until(lambda: scene.host.open)
+    scene.clients.standby()
+    scene.clients.stop()
+    scene.clients.active()
+    scene.loop.skip(2 * SECOND)
+    assert not scene.loop.stopped
+    done(scene, "t1")
+    assert b" 200 " in job.message()[0]
+    job.close()
+    scene.loop.until(lambda: scene.loop.stopped)
+
+
+def test_what_connects_late_in_a_drain_is_not_held_idle():
+    scene = Scene()
+    scene.clients.standby()
+    scene.loop.skip(STANDBY_IDLE + 50_000)
+    silent = scene.client()
+    scene.loop.settle()
+    scene.loop.skip(100_000)
+    assert not silent.ended
+    scene.loop.skip(300_000)
+    gone(scene, silent)
