Take new settings whole at SIGHUP, with open jobs under the class they came with

Settings are now swapped in one go, in the decisions by an event of their own. The host's and the decisions' jobs hold their class and limit of attempts (host._harmful, _push and rules.place looked them up by index in the settings). A file at SIGHUP needs every key of the one in force.

Found by the property test: a value of another type under family-info raised a TypeError, which ended the coroutine that hears signals; SIGTERM went unheard from then on (settings.read_settings; guarded in process.heeding too).

--- a/pulleyroute/__main__.py
+++ b/pulleyroute/__main__.py
@@ -124,9 +124,12 @@
 
 
 def reload(parts: Parts) -> None:
-    """SIGHUP: move to what the file says now. Jobs, connections and the listed instances stay."""
+    """SIGHUP: move to what the file says now, all of it between two events, or stay as it was.
+
+    Jobs, connections and the listed instances stay; an open job keeps the class it was taken under.
+    """
     try:
-        config = load_config(os.environ, reload=True)
+        config = load_config(os.environ, parts.config)
     except ConfigError as exc:
         parts.figures.conf_invalid += 1
         # Guards the service against a file that can't be used: what is in force goes on.
@@ -134,9 +137,10 @@
         return
     old = parts.config
     logger.bind(event="config.reloaded").info(
-        "configuration read again: discovery {}:{}, limits.sockets {}, limits.memory_mb {}",
-        *config.discovery, config.sockets, config.memory_mb)
-    for name in ("name", "listen", "management", "settings"):
+        "configuration read again: discovery {}:{}, limits.sockets {}, limits.memory_mb {}, classes {}",
+        *config.discovery, config.sockets, config.memory_mb,
+        ", ".join(cls.name for cls in config.settings.classes))
+    for name in ("name", "listen", "management"):
         if getattr(config, name) != getattr(old, name):
             logger.warning("a change of {} needs a restart", name)
     if config.sockets != old.sockets:
@@ -146,7 +150,11 @@
     parts.figures.conf_loaded += 1
     parts.ledger.most = readable(config)
     parts.names.move(config.discovery)
+    settings = parts.names.adopt(config.settings)
+    for part in (parts.instances, parts.host, parts.clients):
+        part.adopt(settings)
     old.discovery, old.sockets, old.memory_mb = config.discovery, config.sockets, config.memory_mb
+    old.settings, old.shape = settings, config.shape
 
 
 def main() -> int:
--- a/pulleyroute/interface.py
+++ b/pulleyroute/interface.py
@@ -235,6 +235,13 @@
     job: int
 
 
+@dataclass(slots=True)
+class SettingsChanged:
+    """Other settings from here on; jobs that are open keep the class and limits they were taken under."""
+
+    settings: Settings
+
+
 @dataclass(slots=True)
 class PeerMessage:
     sender: int
@@ -243,7 +250,7 @@
 
 Event = (
     JobArrived | AttemptStarted | AttemptProgress | StreamBegan | AttemptEnded | ProbeEnded
-    | WorkerList | TimerFired | JobExpired | PeerMessage
+    | WorkerList | TimerFired | JobExpired | PeerMessage | SettingsChanged
 )
 
 # Actions
--- a/pulleyroute/net/config.py
+++ b/pulleyroute/net/config.py
@@ -10,7 +10,7 @@
 
 from pulleyroute.interface import Settings
 from pulleyroute.net.http import parse_address
-from pulleyroute.settings import SettingsError, read_settings
+from pulleyroute.settings import SettingsError, Shape, lacking, read_settings, shape
 
 SOCKETS = 1024  # where the configuration names no limit
 FEWEST_SOCKETS = 64
@@ -33,12 +33,14 @@
     known: Any  # the list of instances as last held, in discovery's form; None if there is none
     settings: Settings
     management: tuple[str, int] | None  # the operators' door; None for none
+    shape: Shape  # the keys that the file has
 
 
-def load_config(environ: Mapping[str, str], reload: bool = False) -> Config:
+def load_config(environ: Mapping[str, str], old: Config | None = None) -> Config:
     """Read the file that PROXY_CONFIG names; the other variables go before what it says.
 
-    At a reload the file's `discovery` goes before the variable, which can't change while the program runs.
+    At a reload, with the configuration in force as `old`, the file's `discovery` goes before the variable,
+    which can't change while the program runs, and the file has to have every key that the one in force has.
     """
     path = environ.get("PROXY_CONFIG")
     if not path:
@@ -52,9 +54,14 @@
     if not isinstance(data, dict):
         raise ConfigError(f"{path}: not a JSON object")
     sources = [environ.get("PROXY_DISCOVERY"), data.get("discovery")]
-    if reload:
+    if old is not None:
         sources.reverse()
+    known = data.get("known")
+    keys = shape({key: value for key, value in data.items() if key != "known"})
     try:
+        if old is not None and (missing := lacking(old.shape, data)) is not None:
+            # Guards against a file that was cut down by mistake: defaults would be put in that nobody wrote.
+            raise SettingsError(f"{missing} is missing, which the configuration in force has")
         settings, _ = read_settings(data.get("settings"))
         return Config(
             name=_text(environ.get("PROXY_NAME") or data.get("name"), "name"),
@@ -63,9 +70,10 @@
             seed=_seed(data.get("seed", 0)),
             sockets=_limit(data.get("limits"), "sockets", SOCKETS, FEWEST_SOCKETS),
             memory_mb=_limit(data.get("limits"), "memory_mb", MEMORY_MB, LEAST_MEMORY_MB),
-            known=data.get("known"),
+            known=known,
             settings=settings,
             management=_address(environ.get("PROXY_MANAGEMENT") or data.get("management"), "management"),
+            shape=keys,
         )
     except (SettingsError, ValueError) as exc:
         raise ConfigError(f"{path}: {exc}") from None
--- a/pulleyroute/net/host.py
+++ b/pulleyroute/net/host.py
@@ -14,7 +14,7 @@
 from loguru import logger
 
 from pulleyroute import interface as api
-from pulleyroute.interface import Effect, Outcome, Scope, Settings, WorkerId
+from pulleyroute.interface import Effect, JobClass, Outcome, Scope, Settings, WorkerId
 from pulleyroute.net import log
 from pulleyroute.net.http import Headers
 from pulleyroute.net.instance import Ended, Execution, Probed, Rejected
@@ -132,6 +132,9 @@
     request: Request
     reply: Reply
     deadline: int
+    # What it was taken under, whatever the settings say by now.
+    cls: JobClass
+    most: int  # executions
     taken: int = 0
     executions: list[Execution] = field(default_factory=list)
     answered: bool = False  # or nobody waits any more
@@ -186,6 +189,11 @@
     def max_attempts(self) -> int:
         return self._settings.max_attempts
 
+    def adopt(self, settings: Settings) -> None:
+        """Other settings from the next request on; open ones keep the class and the limits they have."""
+        self._settings = settings
+        self.post(api.SettingsChanged(settings))
+
     # The module
 
     def post(self, event: api.Event) -> None:
@@ -239,10 +247,11 @@
         self._count += 1
         # Guards everybody else: the module takes the longest time seen for what a class's first tries come
         # with, so one request that claims to wait for days would make all others look late.
-        remaining = min(request.remaining, self._settings.classes[request.job_class].give_up)
+        cls = self._settings.classes[request.job_class]
+        remaining = min(request.remaining, cls.give_up)
         left = remaining - min(MARGIN, remaining // MARGIN_SHARE)
         deadline = self._loop.now() + left
-        job = Job(self._count, request, reply, deadline, self._loop.now())
+        job = Job(self._count, request, reply, deadline, cls, self._settings.max_attempts, self._loop.now())
         self._jobs[job.number] = job
         self._by_txn[request.txn] = job
         self.open += 1
@@ -298,7 +307,7 @@
         """The one final answer."""
         self._conclude(job)
         if answer.ending is not Ending.SERVED:
-            cls = self._settings.classes[job.request.job_class].name
+            cls = job.cls.name
             logger.bind(
                 event="request.ended", request=job.request.txn, cls=cls, outcome=answer.ending.value,
                 executions=len(job.executions), took=self._loop.now() - job.taken,
@@ -342,7 +351,7 @@
         self._answer(job, Answer(Ending.REFUSED, retry_after=advice, late=self._late(job)))
 
     def _harmful(self, job: Job) -> bool:
-        cls = self._settings.classes[job.request.job_class]
+        cls = job.cls
         if cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.scope is Scope.ALL):
             return False
         return any(e.outcome not in PROVEN_NOT_RUN for e in job.executions)
@@ -364,8 +373,8 @@
             txn=request.txn, index=len(job.executions), instance=action.worker, method=request.method,
             target=request.target, headers=request.headers, body=request.body, sent=self._now,
             timeout_at=min(action.timeout_at or job.deadline, job.deadline),
-            repeatable=self._settings.classes[request.job_class].effect is Effect.SAFE, call=request.call,
-            unsafe=self._settings.classes[request.job_class].effect is Effect.UNSAFE,
+            repeatable=job.cls.effect is Effect.SAFE, call=request.call,
+            unsafe=job.cls.effect is Effect.UNSAFE,
         )
         earlier = [e for e in job.executions if e.instance == action.worker]
         job.executions.append(execution)
@@ -375,7 +384,7 @@
             or job.bound is not None
             or (job.committed and execution.index > 0)
             or execution.timeout_at <= self._now
-            or execution.index >= self._settings.max_attempts
+            or execution.index >= job.most
             # Guards against two executions of a request at one instance: calls name no execution, so a late
             # word on the earlier one would be taken for the later one's.
             or not all(_silent(e) for e in earlier)
--- a/pulleyroute/net/instance.py
+++ b/pulleyroute/net/instance.py
@@ -88,18 +88,22 @@
         self._loop = loop
         self._pool = pool
         self._names = names
-        self._settings = settings
+        self.adopt(settings)
         self._most = most  # connections at once
         self._figures = figures or Figures()
         self._count = 0
         self._idle: dict[WorkerId, list[tuple[int, Stream]]] = {}
-        self._idle_time = int(settings.keepalive * IDLE_SHARE) or 2_000_000
         self._sweeping = False
         self._distrust_until = 0  # a kept connection broke under a request not long ago
         self.ended: Ended = lambda execution, outcome, report: None
         self.rejected: Rejected = lambda execution: None
         self.probed: Probed = lambda instance, outcome, took, report: None
 
+    def adopt(self, settings: Settings) -> None:
+        """Other settings from now on."""
+        self._settings = settings
+        self._idle_time = int(settings.keepalive * IDLE_SHARE) or 2_000_000
+
     def allow(self, most: int) -> None:
         """Another budget of connections from now on."""
         self._most = most
--- a/pulleyroute/net/name_table.py
+++ b/pulleyroute/net/name_table.py
@@ -6,7 +6,7 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import h11
@@ -65,6 +65,18 @@
         member = self._members.get(instance)
         return member is not None and member.active
 
+    def adopt(self, settings: Settings) -> Settings:
+        """Other settings, with their zones and kinds in this table's numbers: a name keeps its number.
+
+        Guards the decisions: what they know of an instance says where it stands and what it is by number.
+        """
+        zone, kinds = settings.zone, settings.kinds
+        if zone < len(settings.zones):
+            zone = _number(self._zones, settings.zones[zone])
+        classes = [replace(cls, kind=_number(self._kinds, kinds[cls.kind]))
+                   if 0 <= cls.kind < len(kinds) else cls for cls in settings.classes]
+        return replace(settings, zone=zone, classes=classes)
+
     @property
     def size(self) -> int:
         """How many instances the list names."""
--- a/pulleyroute/net/process.py
+++ b/pulleyroute/net/process.py
@@ -52,7 +52,11 @@
         except BlockingIOError:
             continue
         if signal.SIGHUP in numbers:
-            reload()
+            try:
+                reload()
+            except Exception:
+                # Guards every later signal: whatever a file holds, SIGTERM has to be heard.
+                logger.bind(event="reload.failed").exception("the reload ended by an exception")
         if signal.SIGTERM in numbers or signal.SIGINT in numbers:
             logger.bind(event="stopping").info("asked to stop")
             stop()
--- a/pulleyroute/net/service_client.py
+++ b/pulleyroute/net/service_client.py
@@ -79,8 +79,7 @@
         self._pool = pool
         self._ledger = ledger
         self._host = host
-        self._settings = settings
-        self._classes = {cls.name.encode(): i for i, cls in enumerate(settings.classes)}
+        self.adopt(settings)
         self._most = most  # accepted connections
         self._most_jobs = most_jobs  # requests at once; the rest is kept for the instances' calls
         self._connections: set[Connection] = set()
@@ -101,6 +100,11 @@
     def address(self) -> tuple[str, int]:
         return self.listener.address
 
+    def adopt(self, settings: Settings) -> None:
+        """Other settings, and so other classes, from the next request on."""
+        self._settings = settings
+        self._classes = {cls.name.encode(): i for i, cls in enumerate(settings.classes)}
+
     def allow(self, most: int, most_jobs: int) -> None:
         """Other budgets from now on."""
         self._most, self._most_jobs = most, most_jobs
--- a/pulleyroute/rules.py
+++ b/pulleyroute/rules.py
@@ -88,12 +88,13 @@
 class Job:
     """A job taken and not yet forgotten."""
 
-    __slots__ = ("attempts", "cls", "deadline", "ended", "id", "memory", "out", "slots", "tries",
+    __slots__ = ("attempts", "cls", "deadline", "ended", "id", "memory", "most", "out", "slots", "tries",
                  "useful_until", "waits")
 
-    def __init__(self, event: api.JobArrived, cls: api.JobClass, now: int) -> None:
+    def __init__(self, event: api.JobArrived, settings: api.Settings, now: int) -> None:
         self.id = event.job
-        self.cls = cls
+        # Guards an open job against other settings: its class and limit are those it was taken under.
+        self.cls, self.most = settings.classes[event.job_class], settings.max_attempts
         self.deadline = now + event.time_left
         self.useful_until = self.deadline  # an answer later than this earns little; set at each placing
         self.slots = event.slots
@@ -160,11 +161,11 @@
     """Decides for one dispatcher. Feed it events in order; carry out what `handle` returns."""
 
     def __init__(self, settings: api.Settings, seed: int, now: int) -> None:
-        self.settings = settings
+        self.on_settings(api.SettingsChanged(settings))
         self.rng = Random(seed)
         self.now = now
         self.jobs: dict[int, Job] = {}
-        self.full_time: dict[str, int] = {}  # by class: the time that a first try comes with
+        self.full_time: dict[tuple[str, int], int] = {}  # by class: the time that a first try comes with
         self.workers: dict[api.WorkerId, Worker] = {}
         self.digests: dict[bytes, Worker] = {}
         self.told: dict[tuple[int, bytes], tuple[int, int]] = {}  # slots a peer holds at a worker, since when
@@ -178,20 +179,15 @@
         self.unsure: dict[int, Attempt] = {}  # by timer: attempts that should have started by then
         self.token = TICK
         self.todo: list[api.Action] = []
-        self.patience = min(c.give_up for c in settings.classes)
         self.running = sum(c.aim for c in settings.classes) / len(settings.classes)  # mean running time seen
         self.runs: dict[str, float] = {}  # the same by class
         # What waits turned out to be, and were modelled as: others' jobs, not told of, stand in line too.
         self.waits_seen = self.waits_modelled = self.running
         self.gap = 0.0  # time between two reports of a worker, as seen
         self.probe_credit = 0.0
-        self.asks = settings.probes and settings.report_source is not api.ReportSource.NONE
         self.subscribed = not settings.list_on_request
         self.ask_at = self.ask_fails = 0
         self.ticking = False
-        self.abroad = 1 / (1 + PULL * 100 * settings.price_cross_zone)
-        self.unconnected = 1 / (1 + PULL * 100 * settings.price_handshake)
-        self.tick = max(1, (settings.progress or self.patience // 5) // 2)
         self.handlers = {
             api.JobArrived: self.on_job,
             api.AttemptStarted: self.on_started,
@@ -203,8 +199,17 @@
             api.TimerFired: self.on_timer,
             api.JobExpired: self.on_expired,
             api.PeerMessage: self.on_peer,
+            api.SettingsChanged: self.on_settings,
         }
 
+    def on_settings(self, event: api.SettingsChanged) -> None:
+        self.settings = settings = event.settings
+        self.patience = min(c.give_up for c in settings.classes)
+        self.asks = settings.probes and settings.report_source is not api.ReportSource.NONE
+        self.abroad = 1 / (1 + PULL * 100 * settings.price_cross_zone)
+        self.unconnected = 1 / (1 + PULL * 100 * settings.price_handshake)
+        self.tick = max(1, (settings.progress or self.patience // 5) // 2)
+
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         """Take one event at time `now` and return what to do."""
         self.now = now
@@ -215,9 +220,10 @@
     # Jobs
 
     def on_job(self, event: api.JobArrived) -> None:
-        job = Job(event, self.settings.classes[event.job_class], self.now)
+        job = Job(event, self.settings, self.now)
         self.jobs[job.id] = job
-        self.full_time[job.cls.name] = max(self.full_time.get(job.cls.name, 0), event.time_left)
+        kind = job.cls.name, job.cls.give_up
+        self.full_time[kind] = max(self.full_time.get(kind, 0), event.time_left)
         self.probe_credit = min(self.probe_credit + PROBES_PER_JOB, len(self.ready))
         self.load += BLEND * (self.held - self.load)
         self.place(job)
@@ -225,11 +231,11 @@
 
     def place(self, job: Job) -> None:
         """Push the job to a worker drawn at random, or let it sleep if nobody can take it."""
-        if len(job.attempts) >= self.settings.max_attempts:
+        if len(job.attempts) >= job.most:
             self.end(job)
             return
         # A later try of a client comes with less time than a first one: so much of its aim is gone already.
-        born = job.deadline - self.full_time[job.cls.name]
+        born = job.deadline - self.full_time[job.cls.name, job.cls.give_up]
         spare = max(0.0, job.cls.stretch - 1) * TYPICAL * self.runs.get(job.cls.name, self.running)
         useful = born + int((job.cls.aim + spare) * self.rank(job.cls))
         job.useful_until = min(job.deadline, useful)
@@ -257,7 +263,7 @@
         """Look again at a push that may be repeated when it should have started."""
         job, s = attempt.job, self.settings
         if s.tells_start and s.cancels and job.cls.effect is not Effect.UNSAFE and (
-                len(job.attempts) < s.max_attempts):
+                len(job.attempts) < job.most):
             trip = attempt.worker.prompt
             trips = self.running * BLEND if trip is None else START_TRIPS * trip
             self.token += 1
@@ -478,7 +484,7 @@
         bound = self.bound(job)
         if (
             self.now + wait >= until
-            or len(job.attempts) >= self.settings.max_attempts
+            or len(job.attempts) >= job.most
             or (bound is not None and self.now + wait >= bound.sent + job.cls.repeat_window)
         ):
             self.end(job)
--- a/pulleyroute/settings.py
+++ b/pulleyroute/settings.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import math
 from typing import Any
 
 from pulleyroute.interface import Effect, JobClass, ReportSource, Scope, Settings, Tenant
@@ -29,6 +28,38 @@
 _MISSING: Any = object()
 
 
+LARGEST = 2.0**62  # of any number: times are whole microseconds in 64 bits
+
+# The keys of an object, with those of the objects in it; of a list of objects, what they all have.
+Shape = dict[str, Any] | list[Any] | None
+
+
+def shape(value: Any) -> Shape:
+    """What keys a parsed JSON value has."""
+    if isinstance(value, dict):
+        return {key: shape(item) for key, item in value.items()}
+    if isinstance(value, list) and value and all(isinstance(item, dict) for item in value):
+        common = set(value[0]).intersection(*value)
+        return [{key: shape(value[0][key]) for key in sorted(common)}]
+    return None
+
+
+def lacking(want: Shape, value: Any, path: str = "") -> str | None:
+    """The first key of the shape that the value lacks, by its path; None if it has them all."""
+    if isinstance(want, list):
+        items = value if isinstance(value, list) else []
+        found = (lacking(want[0], item, f"{path}[{i}]") for i, item in enumerate(items))
+        return next((key for key in found if key is not None), None)
+    for key, inner in (want or {}).items():
+        name = f"{path}.{key}" if path else key
+        if not isinstance(value, dict) or key not in value:
+            return name
+        missing = lacking(inner, value[key], name)
+        if missing is not None:
+            return missing
+    return None
+
+
 class _Section:
     """Reads one JSON object of the settings, naming what is missing or senseless."""
 
@@ -52,7 +83,7 @@
 
     def number(self, key: str, default: Any = _MISSING, least: float = 0) -> float:
         value = self.raw(key, default)
-        if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value < math.inf:
+        if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value < LARGEST:
             raise SettingsError(f"settings: {self._name(key)} is {value!r}, not a number of at least {least}")
         return float(value)
 
@@ -77,6 +108,18 @@
             raise SettingsError(f"settings: {self._name(key)} is not a list")
         return value
 
+    def names(self, key: str) -> list[str]:
+        value = self.items(key, [])
+        if not all(isinstance(name, str) for name in value):
+            raise SettingsError(f"settings: {self._name(key)} holds what is not a text")
+        return value
+
+    def text(self, key: str, default: Any = _MISSING) -> str:
+        value = self.raw(key, default)
+        if not isinstance(value, str) or not value:
+            raise SettingsError(f"settings: {self._name(key)} is {value!r}, not a text")
+        return value
+
     def sections(self, key: str, default: Any = _MISSING) -> list[_Section]:
         return [_Section(item, f"{self._name(key)}[{i}]") for i, item in enumerate(self.items(key, default))]
 
@@ -100,14 +143,16 @@
     ]
     if not classes:
         raise SettingsError("settings: classes is empty")
+    if len({cls.name for cls in classes}) < len(classes):
+        raise SettingsError("settings: classes names one twice")
     settings = Settings(
         classes=classes,
         dispatchers=top.whole("balancers", least=1),
         me=top.whole("me"),
         max_attempts=caps.whole("max-attempts", least=1),
         zone=top.whole("my-zone", 0),
-        zones=[str(name) for name in top.items("areas", [])],
-        kinds=[str(name) for name in top.items("flavors", [])],
+        zones=top.names("areas"),
+        kinds=top.names("flavors"),
         tenants=[
             Tenant(str(item.raw("name", i)), item.number("portion", 1.0), item.number("quota-per-s", 0.0))
             for i, item in enumerate(top.sections("customers", []))
@@ -138,7 +183,10 @@
     )
     names = dict(_REPORT_FIELDS)
     for extra in ("x0", "x1"):
-        attribute = _EXTRA_FIELDS.get(family.raw(f"report-{extra}", ""))
+        meaning = family.raw(f"report-{extra}", "")
+        if not isinstance(meaning, str):
+            raise SettingsError(f"settings: family-info.report-{extra} is {meaning!r}, not a text")
+        attribute = _EXTRA_FIELDS.get(meaning)
         if attribute:
             names[extra] = attribute
     fields = [(str(name), names.get(str(name))) for name in load.items("fields", [])]
@@ -147,12 +195,15 @@
 
 
 def _job_class(item: _Section, family: _Section, i: int) -> JobClass:
-    def each(key: str, default: Any) -> Any:
+    def each(key: str, default: float) -> float:
         values = family.items(key, [])
-        return values[i] if i < len(values) else default
+        value = values[i] if i < len(values) else default
+        if isinstance(value, bool) or not isinstance(value, int | float) or not -1 <= value < LARGEST:
+            raise SettingsError(f"settings: family-info.{key}[{i}] is {value!r}, not a number")
+        return value
 
     return JobClass(
-        name=str(item.raw("name", i)),
+        name=item.text("name", str(i)),
         effect=item.word("effect", _EFFECTS),
         aim=item.whole("aim", least=1),
         give_up=item.whole("give-up", least=1),
@@ -161,6 +212,6 @@
         scope=item.word("key-scope", {scope.value: scope for scope in Scope}, "all"),
         repeat_window=item.whole("repeat-window", 0),
         stretch=each("class-stretch", item.number("aim-stretch", 0.0)),
-        kind=each("class-kind", -1),
-        priority=each("class-priority", 0),
+        kind=int(each("class-kind", -1)),
+        priority=int(each("class-priority", 0)),
     )
--- a/tests/net/test_name_table.py
+++ b/tests/net/test_name_table.py
@@ -192,7 +192,7 @@
     config = load_config({"PROXY_CONFIG": str(path), "PROXY_NAME": "m", "PROXY_LISTEN": "127.0.0.2:81"})
     assert (config.name, config.listen, config.seed, config.sockets) == ("m", ("127.0.0.2", 81), 255, 512)
     at_start = load_config({"PROXY_CONFIG": str(path), "PROXY_DISCOVERY": "127.0.0.3:5"})
-    again = load_config({"PROXY_CONFIG": str(path), "PROXY_DISCOVERY": "127.0.0.3:5"}, reload=True)
+    again = load_config({"PROXY_CONFIG": str(path), "PROXY_DISCOVERY": "127.0.0.3:5"}, at_start)
     assert (at_start.discovery, again.discovery) == (("127.0.0.3", 5), ("127.0.0.1", 9))
     with pytest.raises(ConfigError, match="PROXY_CONFIG"):
         load_config({})
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -290,7 +290,7 @@
     job = bench.dispatcher
     for free in (8, 1, 2, 1, 2, 1, 2, 1, 2, 1, 2, 1, 2, 1, 2, 8):
         reading(bench, b"a", free_slots=free)
-    worker, probe = job.workers[b"a"], Job(JobArrived(99, SAFE, 9 * SECOND), CLASSES[SAFE], bench.now)
+    worker, probe = job.workers[b"a"], Job(JobArrived(99, SAFE, 9 * SECOND), job.settings, bench.now)
     fresh = job.weight(worker, probe)
     job.now += 20 * SECOND
     assert job.weight(worker, probe) < fresh * 0.7
@@ -301,7 +301,7 @@
     job = bench.dispatcher
     reading(bench, b"a", free_slots=8)
     reading(bench, b"a", free_slots=0)
-    worker, probe = job.workers[b"a"], Job(JobArrived(99, SAFE, 9 * SECOND), CLASSES[SAFE], bench.now)
+    worker, probe = job.workers[b"a"], Job(JobArrived(99, SAFE, 9 * SECOND), job.settings, bench.now)
     probe.useful_until = bench.now + 60 * SECOND
     fresh = job.weight(worker, probe)
     job.now += 20 * SECOND
