--- a/pulleyroute/__main__.py
+++ b/pulleyroute/__main__.py
@@ -7,6 +7,7 @@
 
 import gc
 import os
+import socket
 import sys
 import time
 from collections.abc import Callable
@@ -20,6 +21,7 @@
 from pulleyroute.net.config import Config, ConfigError, load_config
 from pulleyroute.net.duty import Phase
 from pulleyroute.net.figures import Figures, Gauges
+from pulleyroute.net.handover import Handover, inherited
 from pulleyroute.net.host import Host
 from pulleyroute.net.instance import Instances
 from pulleyroute.net.loop import Loop
@@ -37,16 +39,18 @@
 # since a byte of them is held up to three times over while it is parsed and sent on.
 PROGRAM_MB = 22
 READ_SHARE = 1 / 3
+MEGABYTE = 1024 * 1024
+FEWEST = 32  # descriptors that a process may use, whatever another one still holds
 
 
-def readable(config: Config) -> int:
-    """How many bytes of requests may be held."""
-    return int(max(1, (config.memory_mb - PROGRAM_MB) * READ_SHARE) * 1024 * 1024)
+def readable(config: Config, programs: int = 1) -> int:
+    """How many bytes of requests may be held, where so many processes are one dispatcher."""
+    return int(max(1, (config.memory_mb - PROGRAM_MB * programs) * READ_SHARE) * MEGABYTE)
 
 
 @dataclass(slots=True)
 class Parts:
-    """A dispatcher's parts that a signal concerns."""
+    """A dispatcher's parts that a signal concerns, and what each of them may hold."""
 
     config: Config
     ledger: Ledger
@@ -55,10 +59,33 @@
     clients: ServiceClient
     host: Host
     figures: Figures
+    other: tuple[int, int] | None = None  # descriptors and bytes that another process of the dispatcher holds
 
+    def held(self) -> tuple[int, int]:
+        """Descriptors and bytes that this process holds."""
+        return aside(self.config) + self.clients.count + self.instances.count, self.ledger.held
 
-def build(config: Config, loop: Loop) -> Parts:
-    """The parts of a dispatcher, wired and listening."""
+    def share(self, other: tuple[int, int] | None) -> None:
+        """Another process of this dispatcher holds so much: all that both hold is within one limit."""
+        self.other = other
+        self.allow()
+
+    def allow(self) -> None:
+        """Put the limits of the configuration in force."""
+        descriptors, held = self.other or (0, 0)
+        budget = max(FEWEST, budget_of(self.config) - descriptors)
+        self.instances.allow(int(budget * INSTANCE_SHARE))
+        self.clients.allow(int(budget * CLIENT_SHARE), int(budget * JOB_SHARE))
+        programs = 1 if self.other is None else 2
+        self.ledger.most = max(MEGABYTE, readable(self.config, programs) - held)
+
+
+def build(config: Config, loop: Loop, listener: socket.socket | None = None) -> Parts:
+    """The parts of a dispatcher, wired and listening.
+
+    With a listener from outside there may be another process that serves there: clients are taken once that
+    has handed over, or does not answer.
+    """
     pool, ledger = BufferPool(), Ledger(readable(config))
     epoch = time.time_ns() // 1000 - loop.now()
     names = NameTable(loop, pool, config.discovery, config.settings, epoch)
@@ -75,9 +102,14 @@
         loop, pool, ledger, host, config.settings, int(budget * CLIENT_SHARE), int(budget * JOB_SHARE),
         figures)
     parts = Parts(config, ledger, names, instances, clients, host, figures)
-    listening(config.listen, clients.listen)
+    if listener is None:
+        listening(config.listen, clients.listen)
     if config.management is not None:
         listening(config.management, Management(loop, pool, verbs(parts)).listen)
+    if listener is not None:
+        folder = os.environ.get("TMPDIR") or "/tmp"
+        handover = Handover(loop, folder, clients, host, names, parts)
+        loop.spawn(handover.take_over(listener), "hand-over start")
     return parts
 
 
@@ -89,10 +121,14 @@
         raise ConfigError(f"cannot listen on {address[0]}:{address[1]}: {exc.strerror}") from None
 
 
+def aside(config: Config) -> int:
+    """How many descriptors are for the process itself and the operators' door."""
+    return RESERVE + (DESCRIPTORS if config.management is not None else 0)
+
+
 def budget_of(config: Config) -> int:
     """How many descriptors are for clients and instances."""
-    aside = RESERVE + (DESCRIPTORS if config.management is not None else 0)
-    return descriptors(config.sockets) - aside
+    return descriptors(config.sockets) - aside(config)
 
 
 def verbs(parts: Parts) -> Verbs:
@@ -143,18 +179,14 @@
     for name in ("name", "listen", "management"):
         if getattr(config, name) != getattr(old, name):
             logger.warning("a change of {} needs a restart", name)
-    if config.sockets != old.sockets:
-        budget = budget_of(config)
-        parts.instances.allow(int(budget * INSTANCE_SHARE))
-        parts.clients.allow(int(budget * CLIENT_SHARE), int(budget * JOB_SHARE))
     parts.figures.conf_loaded += 1
-    parts.ledger.most = readable(config)
     parts.names.move(config.discovery)
     settings = parts.names.adopt(config.settings)
     for part in (parts.instances, parts.host, parts.clients):
         part.adopt(settings)
     old.discovery, old.sockets, old.memory_mb = config.discovery, config.sockets, config.memory_mb
     old.settings, old.shape = settings, config.shape
+    parts.allow()
 
 
 def main() -> int:
@@ -163,8 +195,9 @@
     loop = Loop(on_error)
     try:
         config = load_config(os.environ)
-        parts = build(config, loop)
-    except ConfigError as exc:
+        given = os.environ.get("PROXY_FD")
+        parts = build(config, loop, inherited(given) if given else None)
+    except (ConfigError, ValueError) as exc:
         print(f"pulleyroute: {exc}", file=sys.stderr)
         return 2
     loop.spawn(heeding(source, lambda: reload(parts), parts.clients.stop), "signals")
--- a/pulleyroute/net/duty.py
+++ b/pulleyroute/net/duty.py
@@ -1,7 +1,8 @@
 """What the process is doing for its clients: the one state machine of service. No I/O, no clock of its own.
 
     STARTING ──serve──▶ SERVING ──standby──▶ STANDBY ──active──▶ SERVING
-                           └───────end────────┴──────▶ ENDING (final)
+    SERVING, STANDBY ──hand──▶ HANDED ──resume──▶ the phase before
+    any ──end──▶ ENDING (final)
 
 Readiness, the operators' calls, SIGTERM and the hand-over to another process only move it; whoever owns the
 connections asks it what holds for them. All times are microseconds of the caller's clock.
@@ -20,7 +21,9 @@
 STOP_LONGEST = 3_000_000  # SIGKILL comes that much later, or the longest give-up time where that is shorter
 STOP_CLOSE = 0.5  # the kept connections end when this share of the time until SIGKILL is over
 STOP_MARGIN = 150_000  # and so long before it all that came late is answered
-HANDED_IDLE = 100_000  # where another process serves already: idle connections end this soon
+# Where another process has taken over, to which the connections move.
+HANDED_IDLE = 1_000_000  # those that could not be moved end
+HANDED_QUIET = 100_000  # after SIGTERM: the process may leave
 
 NEVER = 2**62
 
@@ -29,6 +32,7 @@
     STARTING = "starting"
     SERVING = "serving"
     STANDBY = "standby"
+    HANDED = "handed"  # another process serves, this one finishes
     ENDING = "ending"
 
 
@@ -37,6 +41,8 @@
 
     def __init__(self) -> None:
         self.phase = Phase.STARTING
+        self._before = Phase.STARTING  # the phase that was handed over
+        self.handed = False
         self._keep()
 
     def _keep(self) -> None:
@@ -74,10 +80,31 @@
         self._keep()
         return True
 
-    def end(self, now: int, longest: int, handed: bool = False) -> bool:
+    def hand(self, now: int) -> bool:
+        """Another process takes the clients from here on; whether anything changed."""
+        if self.handed:
+            return False
+        self.handed = True
+        if self.phase is Phase.ENDING:  # SIGTERM was faster than the word of the other process
+            self.quiet_from = min(self.quiet_from, now + HANDED_QUIET)
+        else:
+            self._before, self.phase = self.phase, Phase.HANDED
+        self.close_from = min(self.close_from, now + HANDED_IDLE)
+        self.idle_from = min(self.idle_from, now + HANDED_IDLE)
+        return True
+
+    def resume(self) -> bool:
+        """The other process is gone before this one was told to end; whether this one takes clients again."""
+        if self.phase is not Phase.HANDED:
+            return False
+        self.phase, self.handed = self._before, False
+        self._keep()
+        return True
+
+    def end(self, now: int, longest: int) -> bool:
         """Answer what is owed and leave; whether anything changed.
 
-        `longest` is the longest give-up time of a job; `handed`: another process takes the clients already.
+        `longest` is the longest give-up time of a job.
         """
         if self.phase is Phase.ENDING:
             return False
@@ -86,11 +113,11 @@
         # Guards the clients whose dispatchers restart one after another: closed at once, they would find none
         # while two are away; closed late, they have no time to find the next one before it goes too.
         # Once another process has taken over there is always one.
-        close = now + HANDED_IDLE if handed else max(now + STOP_QUIET, now + int((kill - now) * STOP_CLOSE))
-        self.close_from = min(self.close_from, now if handed else close)
+        close = max(now + STOP_QUIET, now + int((kill - now) * STOP_CLOSE))
+        self.close_from = min(self.close_from, close)
         self.idle_from = min(self.idle_from, close)
-        self.quiet_from = now + (HANDED_IDLE if handed else STOP_QUIET)
-        self.late_from = now if handed else now + STOP_QUIET - STOP_MARGIN
+        self.quiet_from = now + (HANDED_QUIET if self.handed else STOP_QUIET)
+        self.late_from = now + STOP_QUIET - STOP_MARGIN
         self.late_until = kill - STOP_MARGIN
         return True
 
--- /dev/null
+++ b/pulleyroute/net/handover.py
@@ -0,0 +1,438 @@
+"""Two processes, one dispatcher: how a new one takes over from an old one that still serves.
+
+They meet at a Unix socket in `$TMPDIR`, of kind SEQPACKET: a message arrives whole or not at all, and so does
+the descriptor that goes with it. `pack` and `unpack` are the messages' form, without I/O, `Link` carries
+them, and `Handover` says what follows from each.
+
+| from | kind | what it says |
+| --- | --- | --- |
+| new | `hello` | here is another process, of this version, at this time of its clock |
+| old | `state` | its phase, what the list is, what is known of each instance; several, the last one marked |
+| new | `serving` | it takes the clients from here on |
+| old | `connection` | one of its connections, by descriptor, with the job that waits there if there is one |
+| old | `share` | how many descriptors and bytes it still holds |
+| both | `call`, `called` | a call-back for a job that is not here; whether it has been heard |
+"""
+
+from __future__ import annotations
+
+import contextlib
+import itertools
+import json
+import os
+import socket
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Protocol
+
+from loguru import logger
+
+from pulleyroute.net.duty import Phase
+from pulleyroute.net.host import Call, Host
+from pulleyroute.net.loop import READABLE, WRITABLE, Coroutine, Loop, Task, Wait
+from pulleyroute.net.name_table import NameTable
+from pulleyroute.net.service_client import ServiceClient, read_call
+
+VERSION = 1
+NAME = "pulleyroute.sock"
+LARGEST = 180 * 1024  # of a message: a body of 64 KiB and a head, within what a socket's buffer takes
+PART = 32  # instances in one message
+STATE_TIME = 1_000_000  # for all of the old process's state
+CALL_TIME = 1_000_000  # for the word that a call-back has been heard; the instance asks again after it
+SEND_TIME = 1_000_000
+SHARE_PAUSE = 100_000
+
+Values = dict[str, Any]
+
+
+class Unreadable(ValueError):
+    """A message is not in form."""
+
+
+def pack(kind: str, values: Values, body: bytes = b"") -> bytes:
+    """A message: its head as JSON, a line's end, its body."""
+    return json.dumps({**values, "kind": kind}, separators=(",", ":")).encode() + b"\n" + body
+
+
+def unpack(data: bytes) -> tuple[str, Values, bytes]:
+    """Its kind, its values and its body; raises Unreadable."""
+    head, end, body = data.partition(b"\n")
+    try:
+        values = json.loads(head)
+    except (ValueError, RecursionError):
+        raise Unreadable("a message's head is not JSON") from None
+    if not end or not isinstance(values, dict) or not isinstance(values.get("kind"), str):
+        raise Unreadable("a message has no kind")
+    return values.pop("kind"), values, body
+
+
+class Link:
+    """One connection between two processes. Owns the socket; `gone` is called once when it ends."""
+
+    def __init__(self, loop: Loop, sock: socket.socket) -> None:
+        self._loop, self._sock = loop, sock
+        sock.setblocking(False)
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2 * LARGEST)
+        self.closed = False
+        self.shift = 0  # from the other's clock to this one's
+        self.heard: Callable[[str, Values, bytes, int | None], None] = lambda kind, values, body, fd: None
+        self.gone: Callable[[], None] = lambda: None
+        self._task: Task | None = None
+
+    def start(self) -> None:
+        """Begin to read."""
+        self._task = self._loop.spawn(self._reading(), "hand-over")
+
+    def send(self, kind: str, values: Values, body: bytes = b"", fd: int | None = None) -> bool:
+        """Whether it is with the kernel, and so the other's; nothing of it is where not."""
+        if self.closed:
+            return False
+        data = pack(kind, values, body)
+        try:
+            if fd is None:
+                self._sock.send(data)
+            else:
+                socket.send_fds(self._sock, [data], [fd])
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError as exc:
+            if len(data) <= LARGEST:
+                self.close(str(exc))
+            return False
+        return True
+
+    def deliver(self, kind: str, values: Values) -> Coroutine[bool]:
+        """Send, waiting for room where there is none; whether it went."""
+        until = self._loop.now() + SEND_TIME
+        while not self.send(kind, values):
+            if self.closed or self._loop.now() >= until:
+                return False
+            yield Wait(self._sock.fileno(), WRITABLE, min(until, self._loop.now() + SHARE_PAUSE))
+        return True
+
+    def close(self, why: str) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        logger.bind(event="handover.ended").info("hand-over: the other process is gone: {}", why)
+        if self._task is not None:
+            self._task.cancel()
+        self._loop.forget(self._sock.fileno())
+        self._sock.close()
+        self.gone()
+
+    def _reading(self) -> Coroutine[None]:
+        while True:
+            try:
+                data, fds, flags, _ = socket.recv_fds(self._sock, 2 * LARGEST, 1)
+            except (BlockingIOError, InterruptedError):
+                yield Wait(self._sock.fileno(), READABLE)
+                continue
+            except OSError as exc:
+                self.close(str(exc))
+                return
+            if not data:
+                self.close("it has closed the connection")
+                return
+            fd = fds[0] if fds else None
+            try:
+                if flags & socket.MSG_TRUNC:
+                    raise Unreadable("a message is too long")
+                self.heard(*unpack(data), fd)
+            except Exception as exc:
+                # Guards against another version, or a mistake, that both would go on with.
+                logger.bind(event="handover.unreadable").opt(exception=exc).error(
+                    "hand-over: a message can't be used: {}", exc)
+                if fd is not None:
+                    os.close(fd)
+                self.close("a message can't be used")
+                return
+            if self.closed:
+                return
+
+
+class Budgets(Protocol):
+    """What the process may hold; `other` is what another process of the dispatcher holds of it."""
+
+    def held(self) -> tuple[int, int]: ...
+    def share(self, other: tuple[int, int] | None) -> None: ...
+
+
+class Handover:
+    """Owns the meeting place and the links: to the process before this one, and to the one after it."""
+
+    def __init__(self, loop: Loop, folder: str, clients: ServiceClient, host: Host, names: NameTable,
+                 budgets: Budgets) -> None:
+        self._loop, self._clients, self._host, self._names = loop, clients, host, names
+        self._budgets = budgets
+        self._path = str(Path(folder) / NAME)
+        self._door: socket.socket | None = None
+        self._knocking: Task | None = None
+        self._before: Link | None = None
+        self._after: Link | None = None
+        self._whole = False  # the state has come, all of it
+        self._waiter: Task | None = None
+        self._numbers = itertools.count()
+        self._asked: dict[int, list[Any]] = {}  # call-backs on the way: who waits, and what was answered
+        clients.elsewhere = self.elsewhere
+
+    # The new process
+
+    def take_over(self, listener: socket.socket) -> Coroutine[None]:
+        """Take what an old process hands over, if there is one that answers, and then serve."""
+        phase = Phase.SERVING
+        sock = self._connect()
+        if sock is not None:
+            link = self._before = Link(self._loop, sock)
+            state: list[Values] = []
+            link.heard, link.gone = self._told(link, state), self._left_alone
+            link.start()
+            until = self._loop.now() + STATE_TIME
+            link.send("hello", {"version": VERSION, "now": self._loop.now()})
+            while not (link.closed or self._whole) and self._loop.now() < until:
+                yield Wait(until=min(until, self._loop.now() + 5_000))
+            phase = self._use(link, state)
+        self._clients.listener.listen_on(listener)
+        self._clients.duty.serve()
+        if phase is Phase.STANDBY:
+            self._clients.standby()
+        self.open_door()
+        if self._before is not None:
+            self._before.send("serving", {})
+        logger.bind(event="serving").info("taking clients{}", "" if self._before is None else ", taken over")
+
+    def _connect(self) -> socket.socket | None:
+        sock = None
+        try:
+            sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+            sock.setblocking(False)
+            sock.connect(self._path)
+        except OSError as exc:
+            # No file, a stale one, a process that has hung up: there is nobody to take over from.
+            logger.bind(event="handover.alone").info("hand-over: nobody to take over from: {}", exc)
+            if sock is not None:
+                sock.close()
+            return None
+        return sock
+
+    def _told(self, link: Link, state: list[Values]) -> Callable[[str, Values, bytes, int | None], None]:
+        def heard(kind: str, values: Values, body: bytes, fd: int | None) -> None:
+            if kind == "state":
+                if values["version"] != VERSION:
+                    raise Unreadable(f"it speaks version {values['version']}, this process {VERSION}")
+                link.shift = self._loop.now() - values["now"]
+                state.append(values)
+                self._whole = values["last"]
+            elif kind == "connection" and fd is not None:
+                self._clients.receive(socket.socket(fileno=fd), values, body, link.shift)
+            elif kind == "share":
+                self._budgets.share((values["descriptors"], values["bytes"]))
+            else:
+                self._calls(link, kind, values, body)
+        return heard
+
+    def _use(self, link: Link, state: list[Values]) -> Phase:
+        """Put the old process's state in force; what has not come whole is left alone."""
+        if not self._whole:
+            # Guards the start against an old process that hangs: the new one does without it.
+            link.close("it did not tell its state in time")
+            return Phase.SERVING
+        phase = Phase.SERVING
+        for values in state:
+            if values.get("list") is not None:
+                self._names.load_known(values["list"])
+                # At once: what discovery has told the old one since is not to be missed.
+                self._names.watch(True)
+            for item in values.get("known", []):
+                self._host.learn(item, link.shift)
+            if values.get("phase") == Phase.STANDBY.value:
+                phase = Phase.STANDBY
+        return phase
+
+    def _left_alone(self) -> None:
+        self._before = None
+        self._budgets.share(None)
+        self._wake()
+
+    # The old process
+
+    def open_door(self) -> None:
+        """Be found by the next process; without it one that comes starts alone."""
+        try:
+            self._door = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+            self._door.setblocking(False)
+            fresh = f"{self._path}.{os.getpid()}"
+            with contextlib.suppress(FileNotFoundError):
+                os.unlink(fresh)
+            self._door.bind(fresh)
+            os.chmod(fresh, 0o600)
+            self._door.listen(4)
+            os.rename(fresh, self._path)  # in one step: there is always somebody, or a stale file
+        except OSError as exc:
+            # Normal where Unix sockets are refused or the folder is not writable.
+            logger.bind(event="handover.none").warning("hand-over: no meeting place: {}", exc)
+            self._close_door()
+            return
+        self._knocking = self._loop.spawn(self._welcoming(self._door), "hand-over door")
+
+    def _close_door(self) -> None:
+        if self._knocking is not None:
+            self._knocking.cancel()
+            self._knocking = None
+        if self._door is not None:
+            self._loop.forget(self._door.fileno())
+            self._door.close()
+            self._door = None
+
+    def _welcoming(self, door: socket.socket) -> Coroutine[None]:
+        while True:
+            try:
+                sock, _ = door.accept()
+            except (BlockingIOError, InterruptedError):
+                yield Wait(door.fileno(), READABLE)
+                continue
+            except OSError as exc:
+                logger.bind(event="handover.none").warning("hand-over: cannot be met: {}", exc)
+                return
+            link = Link(self._loop, sock)
+            link.heard = self._asks(link)
+            link.start()
+
+    def _asks(self, link: Link) -> Callable[[str, Values, bytes, int | None], None]:
+        def heard(kind: str, values: Values, body: bytes, fd: int | None) -> None:
+            if kind == "hello":
+                link.shift = self._loop.now() - values["now"]
+                if values["version"] != VERSION:
+                    raise Unreadable(f"it speaks version {values['version']}, this process {VERSION}")
+                self._loop.spawn(self._telling(link), "hand-over state")
+            elif kind == "serving":
+                self._hand(link)
+            else:
+                self._calls(link, kind, values, body)
+        return heard
+
+    def _telling(self, link: Link) -> Coroutine[None]:
+        """Tell the state, in parts that a socket takes."""
+        known = self._host.knowledge()
+        members = self._names.entries()
+        parts: list[Values] = [{"phase": self._clients.duty.phase.value}]
+        # The list first: what is known of an instance goes to one that is listed.
+        parts.append({"list": {"revision": self._names.version, "complete": True, "members": members}})
+        parts += [{"known": known[at:at + PART]} for at in range(0, len(known), PART)]
+        for number, part in enumerate(parts):
+            values = {**part, "version": VERSION, "now": self._loop.now(), "last": number == len(parts) - 1}
+            if not (yield from link.deliver("state", values)):
+                link.close("it takes no state")
+                return
+
+    def _hand(self, link: Link) -> None:
+        """The new process serves: move everything there."""
+        logger.bind(event="handover.begun").info("hand-over: another process takes the clients")
+        self._after = link
+        link.gone = self._taken_back
+        self._close_door()
+        self._clients.hand(lambda values, body, fd: link.send("connection", values, body, fd))
+        self._loop.spawn(self._sharing(link), "hand-over shares")
+
+    def _sharing(self, link: Link) -> Coroutine[None]:
+        while not link.closed:
+            descriptors, held = self._budgets.held()
+            link.send("share", {"descriptors": descriptors, "bytes": held})
+            yield Wait(until=self._loop.now() + SHARE_PAUSE)
+
+    def _taken_back(self) -> None:
+        """The new process is gone: unless this one was told to end, it goes on as before."""
+        self._after = None
+        self._wake()
+        self._clients.resume()
+        if self._clients.duty.takes_clients:
+            self.open_door()
+
+    # Call-backs
+
+    def elsewhere(self, call: Call, body: bytes, task: Task | None) -> Coroutine[bool]:
+        """A call-back for a job that is not here; False if the holder may not have heard it."""
+        for link in (self._before, self._after):
+            if link is None or task is None:
+                continue
+            number = next(self._numbers)
+            answer = self._asked[number] = [task, None]
+            until = self._loop.now() + CALL_TIME
+            try:
+                while not link.send("call", {"number": number, "txn": call.txn}, body):
+                    if link.closed or self._loop.now() >= until:
+                        break
+                    yield Wait(until=self._loop.now() + 5_000)
+                while answer[1] is None and not link.closed and self._loop.now() < until:
+                    yield Wait(until=until)
+            finally:
+                del self._asked[number]
+            if answer[1]:
+                return True
+            if answer[1] is None and not link.closed:
+                return False
+        # Nobody has it, or it moved here while its call-back was asked about: then it is known by now.
+        self._host.call(call)
+        return True
+
+    def _calls(self, link: Link, kind: str, values: Values, body: bytes) -> None:
+        if kind == "called":
+            asked = self._asked.get(values["number"])
+            if asked is not None:
+                asked[1] = values["heard"]
+                asked[0].nudge()
+        elif kind == "call":
+            heard = self._host.knows(values["txn"])
+            if heard:
+                self._host.call(read_call(body, self._clients.settings))
+                link.send("called", {"number": values["number"], "heard": True})
+                return
+            on = self._before if link is self._after else self._after
+            if on is None:
+                link.send("called", {"number": values["number"], "heard": False})
+            else:  # guards two upgrades in a row: the one beyond may have it
+                self._loop.spawn(self._passing(link, on, values, body), "hand-over call")
+        else:
+            raise Unreadable(f"a message of kind {kind}")
+
+    def _passing(self, link: Link, on: Link, values: Values, body: bytes) -> Coroutine[None]:
+        number = next(self._numbers)
+        until = self._loop.now() + CALL_TIME
+        answer = self._asked[number] = [_Nobody(), None]
+        try:
+            on.send("call", {"number": number, "txn": values["txn"]}, body)
+            while answer[1] is None and not on.closed and self._loop.now() < until:
+                yield Wait(until=self._loop.now() + 5_000)
+        finally:
+            del self._asked[number]
+        if answer[1] is not None or on.closed:
+            link.send("called", {"number": values["number"], "heard": bool(answer[1])})
+
+    def _wake(self) -> None:
+        for task, _ in self._asked.values():
+            task.nudge()
+
+
+class _Nobody:
+    """Waits for nothing that a nudge would end."""
+
+    def nudge(self) -> None: ...
+
+
+def inherited(text: str) -> socket.socket:
+    """The listening socket that `$PROXY_FD` names; raises ValueError if it names none."""
+    try:
+        number = int(text)
+        if number < 3:
+            raise ValueError
+        sock = socket.socket(fileno=number)
+    except (ValueError, OverflowError, OSError):
+        raise ValueError(f"PROXY_FD is {text!r}, not the number of an open socket") from None
+    listens = sock.family == socket.AF_INET and sock.type == socket.SOCK_STREAM and sock.getsockopt(
+        socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+    if not listens:
+        sock.detach()
+        raise ValueError(f"PROXY_FD is {text!r}, not a socket that listens for TCP over IPv4")
+    sock.set_inheritable(False)
+    return sock
--- a/pulleyroute/net/host.py
+++ b/pulleyroute/net/host.py
@@ -9,11 +9,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Protocol
+from typing import Any, Protocol
 
 from loguru import logger
 
 from pulleyroute import interface as api
+from pulleyroute import recall
 from pulleyroute.interface import Effect, JobClass, Outcome, Scope, Settings, WorkerId
 from pulleyroute.net import log
 from pulleyroute.net.http import Headers
@@ -219,6 +220,9 @@
             logger.bind(event="decisions.failed").exception(
                 "the decision module failed on {}", type(event).__name__)
             actions = self._dispatcher.todo
+        self._carry_out(actions)
+
+    def _carry_out(self, actions: list[api.Action]) -> None:
         for action in actions:
             try:
                 self._doers[type(action)](action)
@@ -273,6 +277,86 @@
             for execution in [e for e in job.executions if not e.over]:
                 self._stop(execution, Outcome.CANCELLED)
 
+    # Another process of this dispatcher
+
+    def find(self, txn: str) -> Job | None:
+        """The job of this id that is being worked on."""
+        return self._by_txn.get(txn)
+
+    def knowledge(self) -> list[dict[str, Any]]:
+        """What the decisions know: in general, then of each instance."""
+        rules = self._dispatcher
+        return [recall.knowledge(rules), *map(recall.worker, rules.workers.values())]
+
+    def learn(self, values: dict[str, Any], shift: int) -> None:
+        """Take over one item of another's knowledge; `shift` turns its clock into this one."""
+        if "id" in values:
+            recall.learn_worker(self._dispatcher, values, shift)
+        else:
+            recall.learn(self._dispatcher, values)
+
+    def movable(self, job: Job) -> bool:
+        """Whether all that is out for it is with the instances, and nothing hangs on this process's
+        connections."""
+        out = [execution for execution in job.executions if not execution.over]
+        return (not job.answered and job.bound is None and not job.committed and bool(out)
+                and all(execution.accepted for execution in out))
+
+    def pack(self, job: Job) -> dict[str, Any]:
+        """A job that is movable as plain values, but for its body."""
+        request = job.request
+        return {
+            "txn": request.txn, "remaining": request.remaining, "method": request.method.decode(),
+            "target": request.target.decode("latin-1"), "slots": request.slots, "memory": request.memory,
+            "headers": [(name.decode("latin-1"), value.decode("latin-1")) for name, value in request.headers],
+            "key": request.key, "is_repeat": request.is_repeat, "deadline": job.deadline, "taken": job.taken,
+            "cls": recall.pack_class(job.cls), "most": job.most,
+            "rules": recall.job(self._dispatcher, job.number),
+            "executions": [{
+                "instance": e.instance.decode(), "sent": e.sent, "timeout_at": e.timeout_at, "over": e.over,
+                "started": e.started, "outcome": e.outcome, "written": e.written, "accepted": e.accepted,
+                "nacked": e.nacked} for e in job.executions],
+        }
+
+    def release(self, job: Job) -> None:
+        """Another process has the job: it is none of this one's any more, and nothing is stopped for it."""
+        self._conclude(job)
+        for execution in [e for e in job.executions if not e.over]:
+            self.settle(execution, Outcome.CANCELLED, None)
+        self.post(api.JobExpired(job.number))
+        self._forget(job)
+
+    def take_over(self, values: dict[str, Any], body: bytes, reply: Reply, shift: int) -> Job:
+        """Hold a job that another process packed, from here on as if it had been taken here."""
+        request = Request(
+            values["txn"], 0, values["remaining"], values["method"].encode(),
+            values["target"].encode("latin-1"),
+            [(name.encode("latin-1"), value.encode("latin-1")) for name, value in values["headers"]], body,
+            values["slots"], values["memory"], values["key"], values["is_repeat"])
+        self._count += 1
+        cls = recall.unpack_class(values["cls"])
+        job = Job(self._count, request, reply, values["deadline"] + shift, cls, values["most"],
+                  values["taken"] + shift)
+        for told in values["executions"]:
+            execution = self._execution(job, told["instance"].encode(), told["sent"] + shift,
+                                        told["timeout_at"] + shift)
+            for name in ("over", "started", "written", "accepted", "nacked"):
+                setattr(execution, name, told[name])
+            execution.outcome = None if told["outcome"] is None else Outcome(told["outcome"])
+            job.executions.append(execution)
+        self._jobs[job.number] = job
+        self._by_txn[request.txn] = job
+        self.open += 1
+        job.guard = self._loop.call_at(job.deadline + GUARD, lambda: self._overdue(job))
+        for execution in [e for e in job.executions if not e.over]:
+            self._arm(execution)
+        if values["rules"] is not None:
+            self._carry_out(recall.learn_job(self._dispatcher, self._loop.now(), job.number, cls, job.most,
+                                             values["rules"], shift))
+        return job
+
+    # Executions as they go
+
     def started(self, execution: Execution) -> None:
         """An execution runs, as far as its protocol can tell."""
         job = self._by_txn.get(execution.txn)
@@ -368,14 +452,8 @@
         if job is None:
             logger.error("the module pushed a job that nobody holds")
             return
-        request = job.request
-        execution = Execution(
-            txn=request.txn, index=len(job.executions), instance=action.worker, method=request.method,
-            target=request.target, headers=request.headers, body=request.body, sent=self._now,
-            timeout_at=min(action.timeout_at or job.deadline, job.deadline),
-            repeatable=job.cls.effect is Effect.SAFE, call=request.call,
-            unsafe=job.cls.effect is Effect.UNSAFE,
-        )
+        execution = self._execution(job, action.worker, self._now,
+                                    min(action.timeout_at or job.deadline, job.deadline))
         earlier = [e for e in job.executions if e.instance == action.worker]
         job.executions.append(execution)
         if (
@@ -391,9 +469,22 @@
         ):
             self.settle(execution, Outcome.MOOT, None)
             return
-        execution.timer = self._loop.call_at(execution.timeout_at, lambda: self._time_out(execution))
+        self._arm(execution)
         self._instances.execute(execution)
 
+    def _execution(self, job: Job, instance: WorkerId, sent: int, timeout_at: int) -> Execution:
+        """The job's next execution, not begun."""
+        request, effect = job.request, job.cls.effect
+        return Execution(
+            txn=request.txn, index=len(job.executions), instance=instance, method=request.method,
+            target=request.target, headers=request.headers, body=request.body, sent=sent,
+            timeout_at=timeout_at, repeatable=effect is Effect.SAFE, call=request.call,
+            unsafe=effect is Effect.UNSAFE,
+        )
+
+    def _arm(self, execution: Execution) -> None:
+        execution.timer = self._loop.call_at(execution.timeout_at, lambda: self._time_out(execution))
+
     def settle(self, execution: Execution, outcome: Outcome, report: api.LoadReport | None,
                result: bytes = b"", ending: Ending | None = None) -> None:
         """An execution has ended; only the first word on it counts.
--- a/pulleyroute/net/http.py
+++ b/pulleyroute/net/http.py
@@ -82,6 +82,7 @@
         self._ledger = ledger
         self._claimed = 0  # bytes read here that count in the ledger
         self._raw = b""  # what the head of the next request was read from
+        self._last = False  # the request asked for the connection's end after its answer
 
     def fileno(self) -> int:
         return self._sock.fileno()
@@ -214,6 +215,8 @@
             # makes one of equal lengths and unfolds lines, but the sender may mean another end of the body.
             raise Malformed(400, "the end of the body is named twice, or a line is folded")
         self._head_only = event.method == b"HEAD"
+        self._last = event.http_version < b"1.1" or any(
+            name == b"connection" and b"close" in value.lower() for name, value in event.headers)
         message = Message(list(event.headers), b"", event.method, event.target)
         size = len(event.target) + sum(len(name) + len(value) + 4 for name, value in event.headers)
         if size > HEAD_LIMIT:  # the parser limits only what is incomplete: how it is cut must not matter
@@ -224,6 +227,21 @@
         message.body = yield from self.body(until, limit)
         return message
 
+    def pending(self) -> dict[str, Any]:
+        """Of a connection whose request waits for its answer, what another process needs to give it."""
+        return {"last": self._last, "rest": self._h11.trailing_data[0].decode("latin-1")}
+
+    def resume(self, values: dict[str, Any], held: int) -> None:
+        """Stand where `pending` was told: a request, with `held` bytes of body, waits for its answer."""
+        head = b"POST / HTTP/1.1\r\nHost: -\r\n%sContent-Length: 0\r\n\r\n" % (
+            b"Connection: close\r\n" if values["last"] else b"")
+        self._h11.receive_data(head + values["rest"].encode("latin-1"))
+        while not isinstance(self._h11.next_event(), h11.EndOfMessage):
+            pass
+        self.fresh = False
+        self._last = values["last"]
+        self._claim(held + self.trailing())
+
     def answer(
         self, status: int, body: bytes, headers: Headers, close: bool, until: int | None
     ) -> Coroutine[bool]:
--- a/pulleyroute/net/instance.py
+++ b/pulleyroute/net/instance.py
@@ -99,6 +99,11 @@
         self.rejected: Rejected = lambda execution: None
         self.probed: Probed = lambda instance, outcome, took, report: None
 
+    @property
+    def count(self) -> int:
+        """Connections, idle ones included."""
+        return self._count
+
     def adopt(self, settings: Settings) -> None:
         """Other settings from now on."""
         self._settings = settings
--- a/pulleyroute/net/listener.py
+++ b/pulleyroute/net/listener.py
@@ -43,6 +43,24 @@
         self.sock = sock
         self.task = self._loop.spawn(self.accepting(sock), self._name)
 
+    def listen_on(self, sock: socket.socket) -> None:
+        """Begin on a socket that listens already; whoever else holds it may accept from it too."""
+        sock.setblocking(False)
+        self.sock = sock
+        self.task = self._loop.spawn(self.accepting(sock), self._name)
+
+    def pause(self) -> None:
+        """Accept no more for now; the socket stays, and what connects waits in its queue."""
+        if self.task is not None and self.sock is not None:
+            self.task.cancel()
+            self.task = None
+            self._loop.forget(self.sock.fileno())
+
+    def resume(self) -> None:
+        """Accept again."""
+        if self.task is None and self.sock is not None:
+            self.task = self._loop.spawn(self.accepting(self.sock), self._name)
+
     @property
     def address(self) -> tuple[str, int]:
         assert self.sock is not None
@@ -58,12 +76,20 @@
             self.sock.close()
 
     def accepting(self, listener: socket.socket) -> Coroutine[None]:
-        sock: socket.socket | None = None  # accepted, and waiting for room
+        waiting: list[socket.socket] = []  # accepted, and waiting for room: one at most
+        try:
+            yield from self._accepting(listener, waiting)
+        finally:
+            for sock in waiting:  # guards who has connected already against the end of the accepting
+                self._greet(sock)
+
+    def _accepting(self, listener: socket.socket, waiting: list[socket.socket]) -> Coroutine[None]:
         while True:
             for _ in range(ACCEPTS_A_TURN):
                 try:
                     # Guards the others: nobody is shed before a connection is there that needs the room.
-                    sock = sock or listener.accept()[0]
+                    if not waiting:
+                        waiting.append(listener.accept()[0])
                 except (BlockingIOError, InterruptedError):
                     break
                 except ConnectionError:
@@ -76,9 +102,8 @@
                     break
                 if not self._room():
                     break
-                self._greet(sock)
-                sock = None
-            if sock is None:
+                self._greet(waiting.pop())
+            if not waiting:
                 yield Wait(listener.fileno(), READABLE)
             else:
                 yield Wait(until=self._loop.now() + ACCEPT_PAUSE)
--- a/pulleyroute/net/name_table.py
+++ b/pulleyroute/net/name_table.py
@@ -36,6 +36,7 @@
     address: tuple[str, int]
     active: bool
     listed: bool = True  # not one that left
+    entry: dict[str, Any] | None = None  # as discovery told it
 
 
 class NameTable:
@@ -77,6 +78,15 @@
                    if 0 <= cls.kind < len(kinds) else cls for cls in settings.classes]
         return replace(settings, zone=zone, classes=classes)
 
+    @property
+    def version(self) -> int:
+        """Of the list, as discovery counts."""
+        return self._version
+
+    def entries(self) -> list[dict[str, Any]]:
+        """The list in discovery's form."""
+        return [member.entry for member in self._members.values() if member.listed and member.entry]
+
     @property
     def size(self) -> int:
         """How many instances the list names."""
@@ -208,9 +218,9 @@
         if kind is not ListKind.DELTA:
             for member in self._members.values():
                 member.active = member.listed = False
-        for entry, address in read:
+        for (entry, address), item in zip(read, data["members"], strict=True):
             self._members[entry.worker] = Member(
-                address, entry.state is WorkerState.READY, entry.state is not WorkerState.GONE)
+                address, entry.state is WorkerState.READY, entry.state is not WorkerState.GONE, item)
         self._version = version
         changes = ", ".join(f"{e.worker.decode()} {e.state.name.lower()}" for e, _ in read[:8])
         logger.bind(event="names.changed", version=version).info(
--- a/pulleyroute/net/service_client.py
+++ b/pulleyroute/net/service_client.py
@@ -9,6 +9,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from itertools import islice
+from typing import Any
 from urllib.parse import parse_qsl
 
 from loguru import logger
@@ -17,7 +18,7 @@
 from pulleyroute.net.buffers import BufferPool, Ledger
 from pulleyroute.net.duty import Duty
 from pulleyroute.net.figures import Figures
-from pulleyroute.net.host import Answer, Call, Ending, Host, Request, State
+from pulleyroute.net.host import Answer, Call, Ending, Host, Job, Request, State
 from pulleyroute.net.http import Broken, Headers, Late, Malformed, Message, Stream
 from pulleyroute.net.instance import read_report
 from pulleyroute.net.listener import Listener
@@ -37,6 +38,7 @@
 SHED_LOOKS = 16  # connections looked at for one to shed
 WRITE_TIME = 10_000_000
 EARLY_BYTES = 64 * 1024  # read ahead of an answer at most
+MOVE_PAUSE = 10_000  # between two looks at what may move to another process by now
 HELD = 2  # requests held for each that may wait: executions go on for a while after their client left
 FULL_RETRY_AFTER = 1_000_000  # advice where there is no room for another request
 LABELS = ("slots", "memory")
@@ -53,7 +55,7 @@
 class Connection:
     """One accepted connection."""
 
-    __slots__ = ("answer", "known", "line", "since", "stream", "task", "working")
+    __slots__ = ("answer", "job", "known", "line", "since", "stream", "task", "working")
 
     def __init__(self, stream: Stream, since: int) -> None:
         self.stream = stream
@@ -63,8 +65,11 @@
         self.task: Task | None = None
         self.working = False  # a whole message of it is being dealt with
         self.answer: Answer | None = None
+        self.job: Job | None = None  # that it waits for
 
 
+# Sends a connection to another process: what is known of it, a body, the descriptor; whether it went.
+Move = Callable[[dict[str, Any], bytes, int], bool]
 Line = OrderedDict[Connection, None]  # the first to be shed first
 
 
@@ -90,6 +95,9 @@
         self.listener = Listener(loop, "listener", self._room, self._shed, self._welcome)
         self.duty = Duty()
         self._figures = figures or Figures()
+        self._move: Move | None = None  # to another process, once it has taken over
+        # A call-back for a job that is not here: whether it was heard by whoever has it, or nobody has.
+        self.elsewhere: Callable[[Call, bytes, Task | None], Coroutine[bool]] | None = None
         self.left: Callable[[], None] = loop.stop  # once nothing is owed and no connection is left
 
     def listen(self, address: tuple[str, int]) -> None:
@@ -105,19 +113,26 @@
         self._settings = settings
         self._classes = {cls.name.encode(): i for i, cls in enumerate(settings.classes)}
 
+    @property
+    def settings(self) -> Settings:
+        """Those in force."""
+        return self._settings
+
+    @property
+    def count(self) -> int:
+        """Accepted connections."""
+        return len(self._connections)
+
     def allow(self, most: int, most_jobs: int) -> None:
         """Other budgets from now on."""
         self._most, self._most_jobs = most, most_jobs
 
     # Letting go
 
-    def stop(self, handed: bool = False) -> None:
-        """SIGTERM: keep serving, end the connections in good time, and leave once all is answered.
-
-        `handed`: another process takes the clients already.
-        """
+    def stop(self) -> None:
+        """SIGTERM: keep serving, end the connections in good time, and leave once all is answered."""
         longest = max(cls.give_up for cls in self._settings.classes)
-        if self.duty.end(self._loop.now(), longest, handed):
+        if self.duty.end(self._loop.now(), longest):
             self._let_go()
 
     def standby(self) -> None:
@@ -129,6 +144,61 @@
         """Back to work; what is not closed yet stays open."""
         self.duty.active()
 
+    # Another process of this dispatcher
+
+    def hand(self, move: Move) -> None:
+        """Another process takes the clients: accept no more, and move to it what is here."""
+        if self.duty.hand(self._loop.now()):
+            self._move = move
+            self.listener.pause()
+            self._let_go()
+            self._moving()
+
+    def resume(self) -> None:
+        """The other process is gone: take clients again, unless this one was told to end."""
+        self._move = None
+        if self.duty.resume():
+            self.listener.resume()
+
+    def _moving(self) -> None:
+        """Move what can be moved by now; what is between two states is looked at again in a moment."""
+        move = self._move
+        if move is None:
+            return
+        for connection in list(self._connections):
+            job, stream = connection.job, connection.stream
+            if job is not None and self._host.movable(job):
+                body = job.request.body
+                values = {"known": True, "job": self._host.pack(job), "pending": stream.pending()}
+            elif connection.line in (self._silent, self._idle) and stream.fresh:
+                job, body = None, b""
+                values = {"known": connection.known, "since": connection.since}
+            else:
+                continue
+            if not move(values, body, stream.fileno()):
+                break  # the other process is behind: this one keeps them for now
+            # From here on the other process has it; this one's copy of the descriptor is closed unsaid.
+            if job is not None:
+                self._host.release(job)
+            if connection.task is not None:
+                connection.task.cancel()
+        self._loop.call_at(self._loop.now() + MOVE_PAUSE, self._moving)
+        self._leave()
+
+    def receive(self, sock: socket.socket, values: dict[str, Any], body: bytes, shift: int) -> None:
+        """Go on with a connection that another process has moved here, and with its job where it has one."""
+        sock.setblocking(False)
+        stream = Stream(self._loop, self._pool, sock, server=True, ledger=self._ledger)
+        connection = Connection(stream, values.get("since", self._loop.now()) + shift)
+        connection.known = values["known"]
+        first = None
+        if "job" in values:
+            stream.resume(values["pending"], len(body))
+            connection.working = True
+            connection.job = self._host.take_over(values["job"], body, self._replying(connection), shift)
+            first = self._awaiting(connection, connection.job)
+        self._begin(connection, first)
+
     def _let_go(self) -> None:
         for at in self.duty.due(self._loop.now()):
             self._loop.call_at(at, self._look)
@@ -192,17 +262,21 @@
 
     def _welcome(self, sock: socket.socket) -> None:
         stream = Stream(self._loop, self._pool, sock, server=True, ledger=self._ledger)
-        connection = Connection(stream, self._loop.now())
+        self._begin(Connection(stream, self._loop.now()))
+
+    def _begin(self, connection: Connection, first: Coroutine[bool] | None = None) -> None:
         self._connections.add(connection)
-        connection.task = Task(self._loop, self._serving(connection), "client connection")
+        connection.task = Task(self._loop, self._serving(connection, first), "client connection")
         connection.task.start()
 
     # One connection
 
-    def _serving(self, connection: Connection) -> Coroutine[None]:
+    def _serving(self, connection: Connection, first: Coroutine[bool] | None) -> Coroutine[None]:
+        """Serve request after request; `first` finishes one that was taken elsewhere."""
         stream = connection.stream
         try:
-            while True:
+            going = first is None or (yield from first)
+            while going:
                 connection.working = False
                 try:
                     if not (yield from self._first_byte(connection)):
@@ -228,15 +302,13 @@
                 except Late:
                     yield from self._tell(stream, 408, b"the request did not come in time", close=True)
                     going = False
-                if not going:
-                    connection.working = True
-                    self._stand(connection, self._lingering)
-                    yield from stream.linger()
-                    return
-                if not stream.fresh and connection.task is not None:
+                connection.working = True
+                if going and not stream.fresh and connection.task is not None:
                     # Guards all others against one that sends request after request: their turn comes first.
                     connection.task.nudge()
                     yield Wait()
+            self._stand(connection, self._lingering)
+            yield from stream.linger()
         except (Broken, Late):
             return
         finally:
@@ -303,7 +375,12 @@
             except ValueError as exc:
                 return (yield from self._tell(stream, 400, str(exc).encode()))
             connection.known = True
-            self._host.call(call)
+            if self._host.knows(call.txn) or self.elsewhere is None:
+                self._host.call(call)
+            elif not (yield from self.elsewhere(call, message.body, connection.task)):
+                # Guards the job: the other process has not said that it heard, so the instance has to say it
+                # again.
+                return (yield from self._tell(stream, 503, b"the holder of the job does not answer"))
             return (yield from self._tell(stream, 204))
         job_class = self._classes.get(path[1:].partition(b"/")[0]) if path.startswith(b"/") else None
         if job_class is None:
@@ -330,19 +407,24 @@
             return (yield from self._tell(stream, 503, self.duty.phase.value.encode(), close=True))
         # Guards what comes late against SIGKILL: it gets an answer before that, whatever becomes of it.
         request.answer_by = self.duty.answer_by(now)
-        return (yield from self._working(connection, request, name))
+        return (yield from self._working(connection, request))
 
-    def _working(self, connection: Connection, request: Request, name: str) -> Coroutine[bool]:
-        """Hand a request to the host and wait for its answer, or for the client to go."""
-        stream = connection.stream
+    def _working(self, connection: Connection, request: Request) -> Coroutine[bool]:
+        """Hand a request to the host and wait for its answer."""
+        connection.answer = None
+        connection.job = self._host.submit(request, self._replying(connection))
+        return (yield from self._awaiting(connection, connection.job))
 
+    def _replying(self, connection: Connection) -> Callable[[Answer], None]:
         def reply(answer: Answer) -> None:
             connection.answer = answer
             if connection.task is not None:
                 connection.task.nudge()
+        return reply
 
-        connection.answer = None
-        job = self._host.submit(request, reply)
+    def _awaiting(self, connection: Connection, job: Job) -> Coroutine[bool]:
+        """Wait for a job's answer, or for the client to go."""
+        stream = connection.stream
         try:
             while (answer := connection.answer) is None:
                 if stream.trailing() > EARLY_BYTES:
@@ -351,11 +433,12 @@
                 if (yield Wait(stream.fileno(), READABLE)) is Woken.READY and stream.pull() == 0:
                     raise Broken("the client is gone")
         finally:
-            self._host.abandon(job)  # changes nothing once it is answered
+            connection.job = None
+            self._host.abandon(job)  # changes nothing once it is answered, or held elsewhere
         status, body, headers = _FORMS[answer.ending](answer)
         going = yield from self._tell(stream, status, body, headers)
         # Guards the truth of the count: a job ends with the last byte of its answer, and not before.
-        self._figures.ended(name, status)
+        self._figures.ended(job.cls.name, status)
         return going
 
 
@@ -363,7 +446,7 @@
     return 503, b"refused", [retry_after(answer.retry_after)] if answer.retry_after else []
 
 
-_FORMS = {
+_FORMS: dict[Ending, Callable[[Answer], tuple[int, bytes, Headers]]] = {
     Ending.SERVED: lambda answer: (200, answer.result, []),
     Ending.REFUSED: _refused,
     Ending.FAILED: lambda answer: (502, b"failed", []),
--- a/tests/net/scene.py
+++ b/tests/net/scene.py
@@ -139,25 +139,30 @@
 class Scene:
     """The parts of a dispatcher, wired as `__main__` wires them."""
 
-    def __init__(self, instances: int = 1, most: int = 50, most_jobs: int = 30, **caps) -> None:
+    def __init__(self, instances: int = 1, most: int = 50, most_jobs: int = 30,
+                 beside: Scene | None = None, **caps) -> None:
+        """`beside`: another process of the same dispatcher, in the same world."""
         info = {**INFO, "caps": {**INFO["caps"], **caps}}
         self.settings: Settings = read_settings(info)[0]
-        self.loop, pool = StillLoop(), BufferPool()
+        self.loop, pool = beside.loop if beside else StillLoop(), BufferPool()
         self.figures = Figures()
-        self.discovery = Listener(self.loop)
+        self.discovery = beside.discovery if beside else Listener(self.loop)
         self.names = NameTable(self.loop, pool, self.discovery.address, self.settings, 0)
         self.instances = Instances(self.loop, pool, self.names, self.settings, 20, self.figures)
         self.host = Host(self.loop, self.settings, 1, self.names, self.instances)
-        self.runners = {f"s-{i}": Listener(self.loop) for i in range(instances)}
+        self.runners = beside.runners if beside else {f"s-{i}": Listener(self.loop) for i in range(instances)}
         self.names.load_known(self.table(*self.runners))
         self.ledger = Ledger(1024 * 1024)
         self.clients = ServiceClient(
             self.loop, pool, self.ledger, self.host, self.settings, most, most_jobs, self.figures)
-        self.clients.listen(("127.0.0.1", 0))
         self.door = Management(self.loop, pool, verbs(SimpleNamespace(
             clients=self.clients, host=self.host, names=self.names, figures=self.figures,
             config=SimpleNamespace(settings=self.settings))))
         self.door.listen(("127.0.0.1", 0))
+        self.serve()
+
+    def serve(self) -> None:
+        self.clients.listen(("127.0.0.1", 0))
 
     def table(self, *names: str, phase: str = "active", complete: bool = True, revision: int = 1) -> dict:
         return {"revision": revision, "complete": complete, "members": [
--- /dev/null
+++ b/tests/net/test_handover.py
@@ -0,0 +1,291 @@
+"""Two processes of one dispatcher on one loop: what moves, what is relayed, what happens when one is gone."""
+
+import os
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pulleyroute.net.duty import Phase
+from pulleyroute.net.handover import NAME, STATE_TIME, Handover, Unreadable, inherited, pack, unpack
+from tests.net.scene import SECOND, TAKEN, Scene
+
+READY = b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+class Budgets:
+    def __init__(self):
+        self.other = None
+
+    def held(self):
+        return 7, 700
+
+    def share(self, other):
+        self.other = other
+
+
+class Process(Scene):
+    """One process of a dispatcher whose clients' socket the platform holds."""
+
+    def __init__(self, folder, platform, **more):
+        self.folder, self.platform = str(folder), platform
+        super().__init__(**more)
+
+    def serve(self):
+        self.budgets = Budgets()
+        self.handover = Handover(self.loop, self.folder, self.clients, self.host, self.names, self.budgets)
+        self.loop.spawn(self.handover.take_over(inherited(str(os.dup(self.platform.fileno())))), "start")
+        passing(self, lambda: self.clients.duty.phase is not Phase.STARTING)
+
+    def next(self):
+        return Process(self.folder, self.platform, beside=self)
+
+    def die(self):
+        """As the kernel does it: what it holds is closed, nothing else is said."""
+        self.clients.listener.pause()
+        self.handover._close_door()
+        for link in (self.handover._before, self.handover._after):
+            if link is not None:
+                link.gone = lambda: None
+                link.close("killed")
+
+
+def passing(scene, condition):
+    """Turn with time going on, since a hand-over waits in small steps."""
+    def held():
+        scene.loop.skip(10_000)
+        return condition()
+    return scene.loop.until(held)
+
+
+@pytest.fixture
+def old(tmp_path):
+    with socket.create_server(("127.0.0.1", 0)) as platform:
+        yield Process(tmp_path, platform, instances=3)
+
+
+def known(scene):
+    peer = scene.client()
+    peer.send(READY)
+    assert b" 200 " in peer.message()[0]
+    return peer
+
+
+def open_job(scene, path, txn, accept=True):
+    """A job, and the instance's end of the connection that its execution went out on."""
+    client = scene.ask(path, txn)
+    scene.loop.until(lambda: scene.host.knows(txn))
+    (execution,) = scene.host._by_txn[txn].executions
+    peer = scene.runners[execution.instance.decode()].accept()
+    peer.message()
+    if accept:
+        peer.send(TAKEN)
+        scene.loop.until(lambda: execution.accepted)
+    return client, execution.instance.decode(), peer
+
+
+def told(scene, txn, instance, state="done"):
+    return scene.call(id=txn, state=state, result=f"of {txn}", **{"from": instance})
+
+
+def test_connections_and_jobs_move_and_nobody_notices(old):
+    idle, silent = known(old), old.client()
+    client, instance, _ = open_job(old, "/charge", "t1")
+    waiting, late, peer = open_job(old, "/read", "t2", accept=False)
+    client.send(b"GET /-/re")  # sent ahead: the bytes are read already, and go with the job
+    old.loop.settle()
+    new = old.next()
+    passing(old, lambda: new.host.knows("t1"))
+    assert not old.host.knows("t1") and old.host.knows("t2") and new.clients.count == 3
+    assert b" 204 " in told(new, "t1", instance)
+    head, body = client.message()
+    assert b" 200 " in head and body == b"of t1" and b"close" not in head.lower()
+    client.send(b"ady HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert b" 200 " in client.message()[0]
+    idle.send(READY)
+    assert b" 200 " in idle.message()[0]
+    new.ask("/read", "t3", peer=silent)
+    new.loop.until(lambda: new.host.knows("t3"))
+    peer.send(TAKEN)  # now that its instance has it, it moves too
+    passing(old, lambda: new.host.knows("t2"))
+    told(new, "t2", late)
+    assert waiting.message()[1] == b"of t2"
+    assert not old.host.open and not old.clients.count and not old.loop.errors
+    assert new.shown() == {"answered.charge": 1, "answered.read": 1, "current": 1, "sends": 1,
+                           "cluster_size": 3}
+    old.clients.stop()
+    passing(old, lambda: old.loop.stopped)
+
+
+@pytest.mark.parametrize(("path", "again"), [("/charge", False), ("/read", True)])
+def test_what_becomes_of_a_job_that_moved_is_as_if_it_had_been_taken_there(old, path, again):
+    client, instance, _ = open_job(old, path, "t1")
+    new = old.next()
+    passing(old, lambda: new.host.knows("t1"))
+    told(new, "t1", instance, "lost")
+    new.loop.skip(SECOND)
+    if not again:  # it may have run: never twice, through whatever process
+        assert b" 502 " in client.message()[0]
+        return
+    _, second = new.host._by_txn["t1"].executions
+    assert second.instance.decode() != instance
+    other = new.runners[second.instance.decode()].accept()
+    other.message()
+    other.send(TAKEN)
+    new.loop.until(lambda: second.accepted)
+    told(new, "t1", second.instance.decode())
+    assert client.message()[1] == b"of t1"
+
+
+def test_a_job_that_moved_ends_in_time_and_is_given_up_where_it_runs(old):
+    client, instance, _ = open_job(old, "/charge", "t1")
+    new = old.next()
+    passing(old, lambda: new.host.knows("t1"))
+    old.die()
+    new.loop.skip(4 * SECOND)
+    assert b" 502 " in client.message()[0]
+    assert b"DELETE /jobs/t1" in new.runners[instance].accept().message()[0]
+
+
+@pytest.mark.parametrize("state", ["done", "failed", "unknown"])
+def test_a_call_back_reaches_the_process_that_has_the_job(old, state):
+    client, instance, _ = open_job(old, "/charge", "t1", accept=False)
+    new = old.next()
+    passing(old, lambda: old.clients.duty.phase is Phase.HANDED)
+    if state == "unknown":
+        assert b" 204 " in told(new, "nobody", instance)
+        return
+    assert b" 204 " in told(new, "t1", instance, state)
+    assert (b" 200 " if state == "done" else b" 502 ") in client.message()[0]
+
+
+def test_a_call_back_that_nobody_confirms_is_asked_for_again(old):
+    # Guards the job: 204 would be the instance's last word on it.
+    open_job(old, "/charge", "t1", accept=False)
+    new = old.next()
+    passing(old, lambda: old.clients.duty.phase is Phase.HANDED)
+    old.handover._after._task.cancel()  # it hangs
+    peer = new.client()
+    body = b'{"id":"t1","from":"s-0","state":"done","result":"r"}'
+    peer.send(b"POST /callback HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+    new.loop.settle()
+    new.loop.skip(SECOND + 50_000)
+    assert b" 503 " in peer.message()[0]
+
+
+def test_two_upgrades_in_a_row_relay_through_the_one_between(old):
+    client, instance, _ = open_job(old, "/charge", "t1", accept=False)
+    middle = old.next()
+    passing(old, lambda: old.clients.duty.phase is Phase.HANDED)
+    new = middle.next()
+    passing(old, lambda: middle.clients.duty.phase is Phase.HANDED)
+    peer = new.client()
+    body = f'{{"id":"t1","from":"{instance}","state":"done","result":"r"}}'.encode()
+    peer.send(b"POST /callback HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+    passing(new, peer.pull)
+    assert b" 204 " in peer.message()[0] and client.message()[1] == b"r"
+
+
+def test_what_was_learnt_goes_over_and_the_budgets_of_cold_instances_count_once(old):
+    rules = old.host._dispatcher
+    entry = old.table("s-2", phase="active", complete=False, revision=4)
+    entry["members"][0]["up_since_ms"] = (old.loop.now() - SECOND) // 1000
+    old.names.tell(old.names._take(entry, cached=False))
+    leaving = old.table("s-1", phase="leaving", complete=False, revision=5)
+    old.names.tell(old.names._take(leaving, cached=False))
+    rules.doubt(rules.workers[b"s-0"])
+    until = rules.workers[b"s-0"].down_until
+    cold = rules.workers[b"s-2"]
+    cold.budget, cold.budget_at = 0.75, old.loop.now()
+    rules.runs["read"] = 4321.0
+    new = old.next()
+    heirs = new.host._dispatcher
+    assert new.names.version == 5 and not new.names.active(b"s-1") and new.names.size == 3
+    assert abs(heirs.workers[b"s-0"].down_until - until) <= 20_000 and new.host.avoided == 1
+    assert heirs.workers[b"s-2"].budget == 0.75 and cold.budget == 0.0
+    assert heirs.runs == {"read": 4321.0}
+    assert b"watch=1&from=5" in new.discovery.accept().message()[0]
+
+
+def test_a_new_process_that_ends_before_sigterm_leaves_the_old_one_at_work(old):
+    client, instance, _ = open_job(old, "/charge", "t1", accept=False)
+    new = old.next()
+    passing(old, lambda: old.clients.duty.phase is Phase.HANDED)
+    new.die()
+    passing(old, lambda: old.clients.duty.phase is Phase.SERVING)
+    told(old, "t1", instance)
+    assert client.message()[1] == b"of t1"
+    assert known(old) and old.next().clients.duty.ready  # and it can be met again
+
+
+def test_a_standby_goes_over(old):
+    old.clients.standby()
+    new = old.next()
+    assert new.clients.duty.phase is Phase.STANDBY
+    new.clients.active()
+    assert known(new)
+
+
+def test_both_keep_within_one_limit_until_the_old_one_is_gone(old):
+    new = old.next()
+    passing(old, lambda: new.budgets.other == (7, 700))
+    old.die()
+    passing(old, lambda: new.budgets.other is None)
+
+
+@pytest.mark.parametrize("how", ["stale", "silent", "version", "garbage", "half", "no folder"])
+def test_whatever_is_at_the_meeting_place_the_new_process_serves_in_time(tmp_path, how):
+    path, door = tmp_path / NAME, socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    door.bind(str(path))
+    if how == "stale":
+        door.close()
+    else:
+        door.listen()
+    with socket.create_server(("127.0.0.1", 0)) as platform:
+        answer = {"version": pack("state", {"version": 99, "now": 1, "last": True}), "garbage": b"\xff{",
+                  "half": pack("state", {"version": 1, "now": 1, "last": False, "phase": "standby"})}.get(how)
+        if answer is not None:
+            # What it will say waits in its socket: the new process reads it once it has connected.
+            import threading
+            threading.Thread(target=lambda: door.accept()[0].send(answer), daemon=True).start()
+        folder = tmp_path / "none" if how == "no folder" else tmp_path
+        new = Process(folder, platform)
+        assert new.loop.time <= 1_000 * SECOND + STATE_TIME + SECOND // 10
+        assert known(new) and new.clients.duty.ready
+    door.close()
+
+
+@pytest.mark.parametrize("value", ["", "x", "-1", "2", "999", "1e1", str(10**30), "a file", "not listening"])
+def test_a_descriptor_that_is_no_listener_is_one_plain_line(tmp_path, value):
+    with open(tmp_path / "file", "w") as file, socket.socket() as plain:
+        number = {"a file": str(file.fileno()), "not listening": str(plain.fileno())}.get(value, value)
+        with pytest.raises(ValueError, match="PROXY_FD is"):
+            inherited(number)
+        plain.getsockname()  # it is still whole
+
+
+def test_the_program_says_so_and_ends_with_2(tmp_path):
+    path = tmp_path / "config.json"
+    root = Path(__file__).parent.parent.parent
+    path.write_text((root / "examples" / "config.json").read_text())
+    done = subprocess.run([sys.executable, "-m", "pulleyroute"], cwd=root, capture_output=True, timeout=60,
+                          env={"PROXY_CONFIG": str(path), "PROXY_FD": "77"}, check=False)
+    assert done.returncode == 2 and done.stderr.count(b"\n") == 1 and b"PROXY_FD" in done.stderr
+
+
+@given(st.binary(max_size=80) | st.text(max_size=40).map(lambda text: text.encode() + b"\nbody"))
+def test_a_message_is_read_or_unreadable(data):
+    try:
+        kind, values, _ = unpack(data)
+    except Unreadable:
+        return
+    assert isinstance(kind, str) and isinstance(values, dict)
+
+
+@given(st.dictionaries(st.sampled_from("abc"), st.integers() | st.text()), st.binary(max_size=50))
+def test_a_message_comes_back_as_it_was(values, body):
+    assert unpack(pack("call", values, body)) == ("call", values, body)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -107,7 +107,7 @@
     assert outside == {"h11", "loguru", "pulleyroute"}
     assert inside == {"pulleyroute", *(f"pulleyroute.{name}" for name in (
         "__main__", "interface", "rules", "settings", "net", "net.buffers", "net.config", "net.host",
-        "net.duty", "net.figures", "net.http", "net.management",
+        "net.duty", "net.figures", "net.handover", "net.http", "net.management", "recall",
         "net.instance", "net.listener", "net.log", "net.loop", "net.moderation", "net.name_table",
         "net.process",
         "net.service_client"))}
