Call off what runs for a client that has gone

Now they are called off where the settings allow; a charge that has started is left to end, since stopping it would leave it half done. Scenes of the tests are left in order and count what they still hold.

--- a/pulleyroute/rules.py
+++ b/pulleyroute/rules.py
@@ -509,6 +509,9 @@
     def on_expired(self, event: api.JobExpired) -> None:
         job = self.jobs.get(event.job)
         if job is not None:
+            if self.settings.cancels:  # guards the room of others: nobody waits for it any more
+                self.todo += [api.Cancel(job.id, a.index) for a in job.attempts
+                              if not a.over and not (a.started and job.cls.effect is Effect.UNSAFE)]
             self.close(job)
 
     # Attempts
--- a/tests/net/scene.py
+++ b/tests/net/scene.py
@@ -7,6 +7,7 @@
 import socket
 import time
 from types import SimpleNamespace
+from typing import ClassVar
 
 from pulleyroute.__main__ import verbs
 from pulleyroute.interface import Settings
@@ -139,6 +140,8 @@
 class Scene:
     """The parts of a dispatcher, wired as `__main__` wires them."""
 
+    made: ClassVar[list[Scene]] = []  # by the test that runs
+
     def __init__(self, instances: int = 1, most: int = 50, most_jobs: int = 30,
                  beside: Scene | None = None, **caps) -> None:
         """`beside`: another process of the same dispatcher, in the same world."""
@@ -160,6 +163,17 @@
             config=SimpleNamespace(settings=self.settings))))
         self.door.listen(("127.0.0.1", 0))
         self.serve()
+        Scene.made.append(self)
+
+    def leave(self) -> None:
+        """End what is open, while all of it is whole; nothing of the clients' side may stay behind."""
+        self.clients.listener.pause()
+        for connection in list(self.clients._connections):
+            connection.task.cancel()
+        self.loop.settle()
+        assert not self.clients._connections and not self.ledger.held and not self.host.open
+        lines = (self.clients._idle, self.clients._silent, self.clients._begun, self.clients._lingering)
+        assert not any(lines)
 
     def serve(self) -> None:
         self.clients.listen(("127.0.0.1", 0))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -580,3 +580,17 @@
             bench.tell(WorkerList(1, ListKind.FAILED, []))
         asked.append(bool(of(Subscribe, bench.run(SECOND))))
     assert not all(asked)
+
+
+@pytest.mark.parametrize(("job_class", "started", "off"), [
+    (SAFE, False, True), (SAFE, True, True), (UNSAFE, False, True), (UNSAFE, True, False)])
+def test_what_runs_for_nobody_is_called_off_but_for_a_running_charge(job_class, started, off):
+    bench = Bench([ready(b"a")])
+    number, actions = bench.job(job_class)
+    worker = pushed(actions)
+    if started:
+        bench.tell(AttemptStarted(number, 0, worker))
+    assert of(Cancel, bench.tell(JobExpired(number))) == ([Cancel(number, 0)] if off else [])
+    quiet = Bench([ready(b"a")], cancels=False)
+    number, _ = quiet.job(job_class)
+    assert not of(Cancel, quiet.tell(JobExpired(number)))
