Judge upgrades of the real program under load by the referee, and kill either process at any message

Boxes may tell a job's end before their 202 (hasty), so that call-backs come for jobs that the other process still has. On one loop, each message of the exchange is preceded by the death of either process: no job is with both, the one that stays answers what it has.

--- a/pulleyroute/emulator/book.py
+++ b/pulleyroute/emulator/book.py
@@ -26,12 +26,17 @@
     asked: dict[str, tuple[str, float]] = field(default_factory=dict)  # request: its kind, and when
     answers: list[tuple[str, str,
                         float]] = field(default_factory=list)  # request, ending, when its client had it
+    heard: set[str] = field(default_factory=set)  # requests whose end a dispatcher has said to have heard
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
     def began(self, request: str, kind: str, box: str) -> None:
         with self._lock:
             self.runs.append(Run(request, kind, box, time.monotonic()))
 
+    def hear(self, request: str) -> None:
+        with self._lock:
+            self.heard.add(request)
+
     def ask(self, request: str, kind: str) -> None:
         with self._lock:
             self.asked[request] = kind, time.monotonic()
--- a/pulleyroute/emulator/jobs.py
+++ b/pulleyroute/emulator/jobs.py
@@ -13,6 +13,8 @@
 
 from pulleyroute.emulator.book import Book
 
+LONGEST_HASTE = 60.0  # seconds that a 202 waits for its job's end
+
 
 class _Server(ThreadingHTTPServer):
     daemon_threads = True
@@ -97,12 +99,15 @@
     """Takes jobs, runs `slots` of them at once for some time, calls back at the dispatcher's address."""
 
     def __init__(self, name: str, book: Book, callback: str, slots: int = 4, mean_ms: float = 20.0,
-                 seed: int = 0) -> None:
+                 seed: int = 0, hasty: float = 0.0) -> None:
+        """`hasty`: the share of jobs whose end is told before the 202."""
         self.name, self.callback = name, callback
         self._book, self._slots, self._mean = book, slots, mean_ms / 1000
         self._random = random.Random(seed)
         self._lock = threading.Lock()
         self._held = 0
+        self._hasty = hasty
+        self._told: dict[str, threading.Event] = {}  # hasty jobs: set once their end has been told
         self._cancelled: set[str] = set()
         outer = self
 
@@ -118,6 +123,9 @@
                     self.send_header("Content-Length", "0")
                     self.end_headers()
                 else:
+                    told = outer._told.get(request)
+                    if told is not None:
+                        told.wait(LONGEST_HASTE)
                     self.reply(202)
 
             def do_DELETE(self) -> None:
@@ -143,6 +151,8 @@
             self._held += 1
             wait = self._mean * (1 + max(0, self._held - self._slots) / self._slots)
             span = min(1.0, self._random.expovariate(1 / wait))
+            if self._random.random() < self._hasty:
+                self._told[request] = threading.Event()
         self._book.began(request, kind, self.name)
         timer = threading.Timer(span, self._done, (request,))
         timer.daemon = True
@@ -158,6 +168,9 @@
         if request in self._cancelled:
             return
         self._tell({"id": request, "from": self.name, "state": "done", "result": f"done by {self.name}"})
+        told = self._told.get(request)
+        if told is not None:
+            told.set()
 
     def _tell(self, call: dict[str, Any]) -> None:
         host, port = self.callback.rsplit(":", 1)
@@ -166,6 +179,7 @@
             try:
                 connection.request("POST", "/callback", json.dumps(call))
                 if connection.getresponse().status in (200, 204):
+                    self._book.hear(call["id"])
                     return
             except (OSError, http.client.HTTPException):
                 time.sleep(0.05)
--- a/pulleyroute/lab/demo.py
+++ b/pulleyroute/lab/demo.py
@@ -22,7 +22,8 @@
 from hdrh.histogram import HdrHistogram
 
 from pulleyroute.emulator import Book, CallBox, Discovery, JobBox
-from pulleyroute.lab.referee import Answered, Asked, Breach, Event, Figures, Kind, Sent, Told, judge
+from pulleyroute.lab.referee import Kind
+from pulleyroute.lab.verdict import verdict
 
 WAIT = 5  # seconds that a client waits
 KINDS = {name: Kind(effect, WAIT * 1_000_000) for name, effect in (
@@ -100,20 +101,6 @@
         return int(sock.getsockname()[1])
 
 
-def verdict(book: Book) -> list[Breach]:
-    """The rules broken in a run, by what its stand-ins and clients saw."""
-    def micros(seconds: float) -> int:
-        return int(seconds * 1e6)
-
-    events: list[Event] = [Asked(micros(at), request, kind) for request, (kind, at) in book.asked.items()]
-    events += [Sent(micros(run.at), run.request, i, run.box) for i, run in enumerate(book.runs)]
-    events += [Told(micros(at), box, "leaving") for box, at in book.drained.items()]
-    events += [Answered(micros(at), request, ending) for request, ending, at in book.answers
-               if ending != "lost"]
-    # On one machine the clients' threads share its time with all the rest: theirs is a little late.
-    return judge(events, KINDS, Figures(slack=500_000), until=micros(time.monotonic()) + 60_000_000)
-
-
 class Demo:
     """One run; owns the stand-ins, the program's process and the load."""
 
@@ -214,7 +201,7 @@
         tick(1.0, len(self.book.answers))
         executions = Counter(self.kinds[run.request] for run in self.book.runs)
         return Result(self.rows, executions,
-                      [f"{each.rule.value}: {each.text}" for each in verdict(self.book)],
+                      [f"{each.rule.value}: {each.text}" for each in verdict(self.book, KINDS)],
                       seconds)
 
     def _done(self, request: str, kind: str, ending: str, began: float) -> None:
--- a/tests/net/test_handover.py
+++ b/tests/net/test_handover.py
@@ -11,7 +11,8 @@
 from hypothesis import strategies as st
 
 from pulleyroute.net.duty import Phase
-from pulleyroute.net.handover import NAME, STATE_TIME, Handover, Unreadable, inherited, pack, unpack
+from pulleyroute.net.handover import NAME, STATE_TIME, Handover, Link, Unreadable, inherited, pack, unpack
+from pulleyroute.net.loop import Task
 from tests.net.scene import SECOND, TAKEN, Scene
 
 READY = b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -38,8 +39,10 @@
     def serve(self):
         self.budgets = Budgets()
         self.handover = Handover(self.loop, self.folder, self.clients, self.host, self.names, self.budgets)
-        self.loop.spawn(self.handover.take_over(inherited(str(os.dup(self.platform.fileno())))), "start")
-        passing(self, lambda: self.clients.duty.phase is not Phase.STARTING)
+        listener = inherited(str(os.dup(self.platform.fileno())))
+        self.starting = Task(self.loop, self.handover.take_over(listener), "start")
+        self.starting.start()
+        passing(self, lambda: self.starting.done)
 
     def next(self):
         return Process(self.folder, self.platform, beside=self)
@@ -47,7 +50,13 @@
     def die(self):
         """As the kernel does it: what it holds is closed, nothing else is said."""
         self.clients.listener.pause()
+        self.clients._move = None
         self.handover._close_door()
+        self.starting.cancel()
+        self.host.abandon = lambda job: None
+        for connection in list(self.clients._connections):
+            connection.task.cancel()
+        self.host.open = 0
         for link in (self.handover._before, self.handover._after):
             if link is not None:
                 link.gone = lambda: None
@@ -222,6 +231,55 @@
     assert known(old) and old.next().clients.duty.ready  # and it can be met again
 
 
+# The exchange of the test below: hello, three parts of the state, serving, a connection and two jobs.
+MESSAGES = ["hello", "state", "state", "state", "serving", "connection", "connection", "connection"]
+
+
+@pytest.mark.parametrize("doomed", ["old", "new"])
+@pytest.mark.parametrize("number", range(len(MESSAGES)))
+def test_killed_before_any_message_no_job_is_with_both_or_sent_twice(old, monkeypatch, doomed, number):
+    """What the one that stays has it answers; what the dead one had ends on its clients."""
+    idle = known(old)
+    jobs = {txn: open_job(old, "/charge", txn, accept=txn != "t3") for txn in ("t1", "t2", "t3")}
+    processes, seen, links, send = {"old": old}, [], {"old": [], "new": []}, Link.send
+
+    def die():
+        for link in links[doomed]:
+            link.gone = lambda: None
+            link.close("killed")
+        processes[doomed].die()
+
+    def watched(link, kind, *more):
+        sender = "new" if kind in ("hello", "serving") else "old"
+        links[sender].append(link)
+        if kind != "share":
+            if len(seen) == number:
+                old.loop.call_at(old.loop.now(), die)
+            seen.append(kind)
+        return (len(seen) <= number or sender != doomed) and send(link, kind, *more)
+
+    monkeypatch.setattr(Link, "send", watched)
+    processes["new"] = new = Process.__new__(Process)
+    new.__init__(old.folder, old.platform, beside=old)
+    old.loop.skip(1_500_000)
+    assert seen[:number + 1] == MESSAGES[:number + 1]
+    stays = processes["new" if doomed == "old" else "old"]
+    passing(old, lambda: stays.clients.duty.ready)
+    for txn, (client, instance, peer) in jobs.items():
+        assert not (old.host.knows(txn) and new.host.knows(txn))
+        if not stays.host.knows(txn):
+            stays.loop.until(lambda c=client: c.pull() is not None and c.ended)
+            continue
+        (execution,) = stays.host._by_txn[txn].executions
+        if not execution.accepted:
+            peer.send(TAKEN)
+            stays.loop.until(lambda e=execution: e.accepted)
+        assert b" 204 " in told(stays, txn, instance)
+        assert client.message()[1] == f"of {txn}".encode()
+    assert known(stays)
+    idle.close()
+
+
 def test_a_standby_goes_over(old):
     old.clients.standby()
     new = old.next()
