--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,8 @@
 	$(BIN)/python -m benchmarks.grpc_memory
 	$(BIN)/python -m benchmarks.grpc_matrix
 	$(BIN)/python -m benchmarks.grpc_faults
+	$(BIN)/python -m benchmarks.door
+	$(BIN)/python -m benchmarks.upgrade
 
 $(VENV)/.ready: pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
--- /dev/null
+++ b/benchmarks/door.py
@@ -0,0 +1,160 @@
+"""The operators' door under floods: `python -m benchmarks.door [--write]`. About a minute.
+
+Starts the platform's program on loopback stand-ins with 256 descriptors, and calls its door four times a
+second for `/status` and `/status/metrics` while something floods the rest. What counts is the slowest answer
+of each flood, beside the one at rest in the same run.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import http.client
+import signal
+import socket
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from benchmarks.fixture import machine
+from pulleyroute.emulator import Book, Discovery, JobBox
+from pulleyroute.lab.upgrade import PROGRAM, Client, Platform, split
+
+SECONDS = 6.0  # a flood
+PAUSE = 0.25  # between two looks at the door
+DUE = 1.0  # seconds that an answer may take
+CROWD = 40  # callers that stay
+CONNECTIONS = 1500  # on the clients' side, at most
+
+
+@dataclass(slots=True)
+class Looks:
+    took: list[float] = field(default_factory=list)  # seconds
+    wrong: int = 0
+
+
+def look(door: str, path: str, want: tuple[int, ...], looks: Looks) -> None:
+    """One call on a connection of its own."""
+    began = time.monotonic()
+    connection = http.client.HTTPConnection(*split(door), timeout=10)
+    try:
+        connection.request("GET", path)
+        looks.wrong += connection.getresponse().status not in want
+    except (OSError, http.client.HTTPException):
+        looks.wrong += 1
+    finally:
+        connection.close()
+    looks.took.append(time.monotonic() - began)
+
+
+def under(door: str, flood: Callable[[threading.Event], None], threads: int,
+          want: tuple[int, ...] = (200,)) -> Looks:
+    """The door's answers while so many threads flood."""
+    over, looks = threading.Event(), Looks()
+    at_work = [threading.Thread(target=flood, args=(over,), daemon=True) for _ in range(threads)]
+    for thread in at_work:
+        thread.start()
+    time.sleep(0.5)
+    end = time.monotonic() + SECONDS
+    while time.monotonic() < end:
+        look(door, "/status", want, looks)
+        look(door, "/status/metrics", (200,), looks)
+        time.sleep(PAUSE)
+    over.set()
+    for thread in at_work:
+        thread.join(15)
+    return looks
+
+
+def holding(address: str, data: bytes, most: int, stay: float) -> Callable[[threading.Event], None]:
+    """Connects again and again, sends the same, and holds each connection for a while."""
+    def flood(over: threading.Event) -> None:
+        held: list[tuple[float, socket.socket]] = []
+        while not over.is_set():
+            now = time.monotonic()
+            while held and (now - held[0][0] > stay or len(held) >= most):
+                held.pop(0)[1].close()
+            with contextlib.suppress(OSError):
+                sock = socket.create_connection(split(address), timeout=1)
+                sock.sendall(data)
+                held.append((now, sock))
+            time.sleep(0.001)
+        for _, sock in held:
+            sock.close()
+    return flood
+
+
+def asking(address: str) -> Callable[[threading.Event], None]:
+    """Sends what is no job as fast as it is answered."""
+    def flood(over: threading.Event) -> None:
+        while not over.is_set():
+            with contextlib.suppress(OSError), socket.create_connection(split(address), timeout=5) as sock:
+                while not over.is_set():
+                    sock.sendall(b"POST /nothing HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n" * 20)
+                    if not sock.recv(65536):
+                        break
+    return flood
+
+
+def main() -> int:
+    rows: list[tuple[str, Looks]] = []
+    book, over = Book(), threading.Event()
+    with tempfile.TemporaryDirectory() as folder:
+        platform, discovery = Platform(Path(folder), PROGRAM), Discovery()
+        boxes = [JobBox(f"box-{i}", book, platform.address, slots=8, mean_ms=40, seed=i) for i in range(3)]
+        load = [Client(f"c{i}", platform.address, book, over, 20) for i in range(8)]
+        try:
+            for box in boxes:
+                discovery.put(box.name, box.address)
+            platform.configure(discovery, 20)
+            platform.start()
+            program, door = platform.processes[-1]
+            for client in load:
+                client.start()
+            half = b"GET /status HTT"
+
+            def reloads(over: threading.Event) -> None:
+                while not over.wait(0.05):
+                    program.send_signal(signal.SIGHUP)
+
+            floods: list[tuple[str, Callable[[threading.Event], None], int]] = [
+                ("at rest", lambda over: None, 0),
+                (f"{CROWD} callers at the door that send nothing", holding(door, b"", CROWD, 4), 1),
+                (f"{CROWD} callers at the door with half a call", holding(door, half, CROWD, 4), 1),
+                (f"{CONNECTIONS} silent connections of clients",
+                 holding(platform.address, b"", CONNECTIONS, 4), 1),
+                ("8 clients that ask for nothing at full speed", asking(platform.address), 8),
+                ("20 reloads a second", reloads, 1),
+            ]
+            for name, flood, threads in floods:
+                rows.append((name, under(door, flood, threads)))
+            connection = http.client.HTTPConnection(*split(door), timeout=10)
+            connection.request("POST", "/standby")
+            connection.getresponse().read()
+            rows.append(("a drain, with silent connections",
+                         under(door, holding(platform.address, b"", CONNECTIONS, 4), 1)))
+        finally:
+            over.set()
+            platform.close()
+            for box in boxes:
+                box.close()
+            discovery.close()
+    rest = max(rows[0][1].took)
+    lines = ["| while | calls | slowest answer, ms | of that at rest | late or wrong |",
+             "| --- | --- | --- | --- | --- |"]
+    lines += [f"| {name} | {len(looks.took)} | {max(looks.took) * 1000:.0f} | {max(looks.took) / rest:.1f} "
+              f"| {looks.wrong + sum(took > DUE for took in looks.took)} |" for name, looks in rows]
+    print("\n".join(lines))
+    if "--write" in sys.argv:
+        Path("docs/measured/door.md").write_text("\n".join([
+            "# The operators' door under floods", "",
+            "Command: `python -m benchmarks.door --write`. 256 descriptors; 8 clients with jobs go on all",
+            "the while. An answer is due within 1000 ms.", "", f"Run on: {machine()}.", "", *lines, ""]))
+    return 0 if not any(looks.wrong or max(looks.took) > DUE for _, looks in rows) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/pulleyroute/lab/upgrade.py
+++ b/pulleyroute/lab/upgrade.py
@@ -130,7 +130,7 @@
 
 def call(address: str, method: str, path: str) -> int:
     """The status of a call without a body; 0 where nobody answers."""
-    connection = http.client.HTTPConnection(*_split(address), timeout=PATIENCE)
+    connection = http.client.HTTPConnection(*split(address), timeout=PATIENCE)
     try:
         connection.request(method, path)
         return connection.getresponse().status
@@ -140,7 +140,8 @@
         connection.close()
 
 
-def _split(address: str) -> tuple[str, int]:
+def split(address: str) -> tuple[str, int]:
+    """Host and port."""
     host, port = address.rsplit(":", 1)
     return host, int(port)
 
@@ -155,7 +156,7 @@
         self._random = random.Random(name)
 
     def run(self) -> None:
-        connection = http.client.HTTPConnection(*_split(self._address), timeout=self._give_up + 10)
+        connection = http.client.HTTPConnection(*split(self._address), timeout=self._give_up + 10)
         count = 0
         while not self._over.is_set():
             kind, request = self._random.choice(list(EFFECTS)), f"{self._mark}-{count}"
