--- a/examples/site.hcl
+++ b/examples/site.hcl
@@ -1,5 +1,6 @@
 # Calls on 8443 to two apps, jobs on 8080 to the boxes that discovery lists. See docs/operate/grpc.md.
-name = "n1"
+name       = "n1"
+management = "127.0.0.1:8081"
 
 listener "calls" {
   protocol = "grpc"
--- a/pulleyroute/__main__.py
+++ b/pulleyroute/__main__.py
@@ -25,7 +25,7 @@
 from pulleyroute.net.host import Host
 from pulleyroute.net.instance import Instances
 from pulleyroute.net.loop import Loop
-from pulleyroute.net.management import DESCRIPTORS, Management, Verbs
+from pulleyroute.net.management import DESCRIPTORS, Management, verbs
 from pulleyroute.net.name_table import NameTable
 from pulleyroute.net.process import catch_signals, descriptors, heeding, on_error
 from pulleyroute.net.service_client import ServiceClient
@@ -61,6 +61,31 @@
     figures: Figures
     other: tuple[int, int] | None = None  # descriptors and bytes that another process of the dispatcher holds
 
+    # For the operators' door
+
+    @property
+    def phase(self) -> Phase:
+        """What it is doing for its clients."""
+        return self.clients.duty.phase
+
+    def classes(self) -> list[str]:
+        """The names of the classes in force."""
+        return [cls.name for cls in self.clients.settings.classes]
+
+    def gauges(self) -> Gauges:
+        """What is so at the moment."""
+        return Gauges(self.host.open, self.names.size, self.host.avoided)
+
+    def standby(self) -> None:
+        """Drain, and stay."""
+        self.clients.standby()
+
+    def active(self) -> None:
+        """Back to work."""
+        self.clients.active()
+
+    # Limits
+
     def held(self) -> tuple[int, int]:
         """Descriptors and bytes that this process holds."""
         return aside(self.config) + self.clients.count + self.instances.count, self.ledger.held
@@ -131,34 +156,6 @@
     return descriptors(config.sockets) - aside(config)
 
 
-def verbs(parts: Parts) -> Verbs:
-    """What the operators' calls do."""
-    clients = parts.clients
-
-    def status() -> tuple[int, bytes]:
-        return 200 if clients.duty.takes_clients else 503, f"{clients.duty.phase.value}\n".encode()
-
-    def figures() -> tuple[int, bytes]:
-        gauges = Gauges(parts.host.open, parts.names.size, parts.host.avoided)
-        return 200, parts.figures.render((cls.name for cls in parts.config.settings.classes), gauges)
-
-    def standby() -> tuple[int, bytes]:
-        clients.standby()
-        return told("standby")
-
-    def active() -> tuple[int, bytes]:
-        clients.active()
-        return told("active")
-
-    def told(call: str) -> tuple[int, bytes]:
-        phase = clients.duty.phase
-        logger.bind(event=f"operators.{call}").info("operators: {}, and now {}", call, phase.value)
-        return 409 if phase is Phase.ENDING else 200, f"{phase.value}\n".encode()
-
-    return {b"/status": {b"GET": status}, b"/status/metrics": {b"GET": figures},
-            b"/standby": {b"POST": standby}, b"/active": {b"POST": active}}
-
-
 def reload(parts: Parts) -> None:
     """SIGHUP: move to what the file says now, all of it between two events, or stay as it was.
 
--- a/pulleyroute/cli/demo.py
+++ b/pulleyroute/cli/demo.py
@@ -46,7 +46,8 @@
     names = ("kind", "asked", "served", "refused", "failed", "p50 ms", "p99 ms", "runs")
     if as_json:
         print(json.dumps({"rows": [dict(zip(names, row, strict=True)) for row in rows],
-                          "broken": result.broken, "seconds": round(result.seconds, 3)}))
+                          "broken": result.broken, "figures": result.figures,
+                          "seconds": round(result.seconds, 3)}))
     else:
         table = Table(title="One box drained at a third, one app killed at half")
         for name in names:
@@ -55,6 +56,8 @@
             table.add_row(row[0], *(f"{value:.1f}" if isinstance(value,
                                                                  float) else str(value) for value in row[1:]))
         console.print(table)
+        shown = ", ".join(f"{name.removeprefix('app.')} {value}" for name, value in result.figures.items())
+        console.print(f"the operators' door said: {shown}", highlight=False)
         console.print(f"rules broken: {len(result.broken)}", style="red" if result.broken else "green")
         for line in result.broken[:10]:
             console.print(f"  {line}")
--- a/pulleyroute/grpc/back.py
+++ b/pulleyroute/grpc/back.py
@@ -14,6 +14,7 @@
 from pulleyroute.grpc.messages import read_load
 from pulleyroute.interface import LoadReport, Outcome, Settings, WorkerId
 from pulleyroute.net.buffers import BufferPool
+from pulleyroute.net.figures import Figures
 from pulleyroute.net.host import Host
 from pulleyroute.net.http import Broken, Headers
 from pulleyroute.net.http2 import Code, Http2, Limits, dial
@@ -45,7 +46,8 @@
 
     def __init__(self, loop: Loop, pool: BufferPool, names: NameTable, settings: Settings, limits: Limits,
                  slots: float = SLOTS, message_bytes: int = 0, context: ssl.SSLContext | None = None,
-                 server_name: str = "") -> None:
+                 server_name: str = "", figures: Figures | None = None) -> None:
+        self._figures = figures or Figures()
         self._loop, self._pool, self._names, self._settings = loop, pool, names, settings
         self.limits, self.slots, self.message_bytes = limits, slots, message_bytes
         self.context, self.server_name = context, server_name
@@ -98,6 +100,7 @@
         execution.written = True  # from its head on it may run
         try:
             upstream.stream = connection.request(headers, upstream)
+            self._figures.sends += 1
         except Broken:
             execution.written = False
             self._let_go(execution)
--- a/pulleyroute/grpc/call.py
+++ b/pulleyroute/grpc/call.py
@@ -56,6 +56,8 @@
         self.said: Said | None = None
         self.done = False
         self.status: Status | None = None
+        self.refused = False  # its ending says that it never ran
+        self.gone = False  # its client left before its ending
         self._ledger = ledger
         self._over = over
         self._credited = 0  # of the request's bytes: given back to the client's window
@@ -91,6 +93,7 @@
 
     def broke(self, code: int | None, never_ran: bool, why: str) -> None:
         """The client has cancelled, or is gone: its instance hears of it too."""
+        self.gone = True
         if not self.done:
             self._conclude(Status.CANCELLED)
             if self.job is not None:
@@ -149,6 +152,7 @@
         elif said is not None and (said.headers or said.trailers) and answer.ending is not Ending.REFUSED:
             self._deliver(said)
         elif answer.ending is Ending.REFUSED:
+            self.refused = True
             self.fail(Status.UNAVAILABLE, "refused: it has not run, come back later",
                       advice=answer.retry_after)
         elif said is not None:
--- a/pulleyroute/grpc/front.py
+++ b/pulleyroute/grpc/front.py
@@ -17,6 +17,7 @@
 from pulleyroute.grpc.status import Status
 from pulleyroute.net import log
 from pulleyroute.net.buffers import BufferPool, Ledger
+from pulleyroute.net.figures import Ended, Figures
 from pulleyroute.net.host import Host, Request
 from pulleyroute.net.http import Headers
 from pulleyroute.net.http2 import FLOOD, Http2, Limits, Owner, Stream
@@ -54,6 +55,7 @@
     job_class: int
     give_up: int  # microseconds, for a call that names no time of its own
     name: str = ""
+    class_name: str = ""
 
 
 class Front:
@@ -61,7 +63,8 @@
 
     def __init__(self, loop: Loop, pool: BufferPool, routes: Routes[Target], limits: FrontLimits,
                  health: Health,
-                 context: ssl.SSLContext | None = None, name: str = "grpc") -> None:
+                 context: ssl.SSLContext | None = None, name: str = "grpc",
+                 figures: Figures | None = None) -> None:
         self._loop, self._pool = loop, pool
         self.routes, self.limits, self.context = routes, limits, context
         self.health = health
@@ -69,7 +72,7 @@
         self.ledger = Ledger(limits.memory)
         self.calls: set[Call] = set()
         self.connections: set[Http2] = set()
-        self.counts = dict.fromkeys(Status, 0)
+        self._figures = figures or Figures()
         self._listener = Listener(loop, f"listener {name}", self._room, self._shed, self._welcome)
         self._unread: dict[Stream, int] = {}  # ended calls whose answers wait for their clients, until when
         self.stopping = False
@@ -150,7 +153,6 @@
                 return HealthCall(self.health, stream, head.path, ended)
             return self._call(stream, head, ended)
         except BadHead as exc:
-            self.counts[exc.status] += 1
             if exc.http != 200:
                 stream.send_headers([(b":status", b"%d" % exc.http)], end=True)
             else:
@@ -165,7 +167,7 @@
             raise BadHead(Status.DEADLINE_EXCEEDED, "the deadline was over when the call came")
         host = target.host
         if len(self.calls) >= self.limits.calls or self.ledger.full:
-            self.counts[Status.UNAVAILABLE] += 1
+            self._figures.ended(target.class_name, Ended.DEFERRED)
             stream.send_headers(failure(Status.UNAVAILABLE, "full: it has not run", FULL_ADVICE), end=True)
             return Ignored(stream)
         call = Call(host, stream, head, self.limits.replay, self.ledger, self.limits.message_bytes,
@@ -185,7 +187,9 @@
 
     def _over(self, call: Call, status: Status) -> None:
         self.calls.discard(call)
-        self.counts[status] += 1
+        if call.job is not None and not call.gone:
+            how = Ended.ANSWERED if status is Status.OK else Ended.DEFERRED if call.refused else Ended.ERRORED
+            self._figures.ended(call.job.cls.name, how)
         if call.stream.waiting and call.stream.open and call.job is not None:
             self._unread[call.stream] = max(call.job.deadline, self._loop.now()) + GRACE
             if len(self._unread) == 1:
--- a/pulleyroute/lab/demo.py
+++ b/pulleyroute/lab/demo.py
@@ -13,6 +13,7 @@
 import tempfile
 import threading
 import time
+import urllib.request
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -29,7 +30,8 @@
 KINDS = {name: Kind(effect, WAIT * 1_000_000) for name, effect in (
     ("balance-check", "safe"), ("card-charge", "unsafe"), ("shop.Look", "safe"), ("shop.Charges", "unsafe"))}
 CONFIG = """
-name = "demo"
+name       = "demo"
+management = "{door}"
 listener "jobs"  {{
   protocol = "jobs"
   address  = "{jobs}"
@@ -93,6 +95,14 @@
     executions: Counter[str]
     broken: list[str]
     seconds: float
+    figures: dict[str, int] = field(default_factory=dict)  # what the operators' door said at the end
+
+
+def figures(door: str) -> dict[str, int]:
+    """The figures that a door shows, by name."""
+    with urllib.request.urlopen(f"http://{door}/status/metrics", timeout=10) as answer:
+        lines = [line.split("|")[0].split(":") for line in answer.read().decode().splitlines()]
+    return {name: int(value) for name, value in lines}
 
 
 def free_port() -> int:
@@ -115,7 +125,7 @@
     def run(self, tick: Callable[[float, int], None] = lambda share, done: None) -> Result:
         """Play it; `tick` hears the share of the time that is over and how many requests have their
         answer."""
-        jobs, calls = f"127.0.0.1:{free_port()}", f"127.0.0.1:{free_port()}"
+        jobs, calls, door = (f"127.0.0.1:{free_port()}" for _ in range(3))
         discovery = Discovery()
         boxes = [JobBox(f"box-{i}", self.book, jobs, seed=i) for i in range(4)]
         apps = [CallBox(f"app-{i}", self.book, mean_ms=15) for i in range(3)]
@@ -125,7 +135,7 @@
             path = Path(folder) / "demo.hcl"
             instances = "".join(
                 f'  instance "{app.name}" {{\n    address = "{app.address}"\n  }}\n' for app in apps)
-            path.write_text(CONFIG.format(jobs=jobs, calls=calls, discovery=discovery.address,
+            path.write_text(CONFIG.format(jobs=jobs, calls=calls, discovery=discovery.address, door=door,
                                           instances=instances))
             log = (Path(folder) / "log").open("wb")
             program = subprocess.Popen(
@@ -133,6 +143,7 @@
             try:
                 self._await(program, jobs, Path(folder) / "log")
                 result = self._play(jobs, calls, discovery, boxes, apps, tick)
+                result.figures = figures(door)
                 program.send_signal(signal.SIGTERM)
                 with contextlib.suppress(subprocess.TimeoutExpired):
                     program.wait(10)
--- a/pulleyroute/net/duty.py
+++ b/pulleyroute/net/duty.py
@@ -36,6 +36,9 @@
     ENDING = "ending"
 
 
+TAKES_CLIENTS = (Phase.SERVING, Phase.STANDBY)  # whoever comes is answered, wanted or not
+
+
 class Duty:
     """Owns the phase and the times from which connections are let go; NEVER where they are not."""
 
@@ -130,8 +133,8 @@
 
     @property
     def takes_clients(self) -> bool:
-        """Whether this process answers who comes, wanted or not."""
-        return self.phase in (Phase.SERVING, Phase.STANDBY)
+        """Whether this process answers who comes."""
+        return self.phase in TAKES_CLIENTS
 
     def closing(self, now: int) -> bool:
         """Whether an answer that leaves now closes its connection."""
--- a/pulleyroute/net/figures.py
+++ b/pulleyroute/net/figures.py
@@ -25,8 +25,8 @@
     ERRORED = "errored"
 
 
-def ended(status: int) -> Ended:
-    """What a final answer of this status counts as."""
+def by_status(status: int) -> Ended:
+    """What a final answer of this HTTP status counts as."""
     if status == 200:
         return Ended.ANSWERED
     return Ended.DEFERRED if status in REFUSALS else Ended.ERRORED
@@ -50,9 +50,9 @@
         self.conf_loaded = 0  # files taken at a reload
         self.conf_invalid = 0  # and files turned down
 
-    def ended(self, job_class: str, status: int) -> None:
+    def ended(self, job_class: str, how: Ended) -> None:
         """A job's final answer has left, its last byte included."""
-        self.counts(job_class)[ended(status)] += 1
+        self.counts(job_class)[how] += 1
 
     def counts(self, job_class: str) -> dict[Ended, int]:
         """The counts of a class, by how its jobs ended."""
--- a/pulleyroute/net/management.py
+++ b/pulleyroute/net/management.py
@@ -3,9 +3,14 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
+from typing import Protocol
+
+from loguru import logger
 
 from pulleyroute.net.buffers import BufferPool
+from pulleyroute.net.duty import TAKES_CLIENTS, Phase
+from pulleyroute.net.figures import Figures, Gauges
 from pulleyroute.net.http import Broken, Late, Malformed, Message, Stream
 from pulleyroute.net.listener import Listener
 from pulleyroute.net.loop import Coroutine, Loop, Task
@@ -92,3 +97,40 @@
         if verb is None:
             return 405, b"not with this method\n", [(b"Allow", b", ".join(verbs))]
         return *verb(), []
+
+
+class Operated(Protocol):
+    """What the operators run, of whatever parts."""
+
+    figures: Figures
+
+    @property
+    def phase(self) -> Phase: ...
+    def classes(self) -> Iterable[str]: ...
+    def gauges(self) -> Gauges: ...
+    def standby(self) -> None: ...
+    def active(self) -> None: ...
+
+
+def verbs(operated: Operated) -> Verbs:
+    """The operators' calls. Those that move the service say no once it ends, and change nothing twice."""
+
+    def status() -> tuple[int, bytes]:
+        return 200 if operated.phase in TAKES_CLIENTS else 503, f"{operated.phase.value}\n".encode()
+
+    def figures() -> tuple[int, bytes]:
+        return 200, operated.figures.render(operated.classes(), operated.gauges())
+
+    def moving(name: str, move: Callable[[], None]) -> Verb:
+        def verb() -> tuple[int, bytes]:
+            move()
+            phase = operated.phase
+            logger.bind(event=f"operators.{name}").info("operators: {}, and now {}", name, phase.value)
+            return 200 if phase in TAKES_CLIENTS else 409, f"{phase.value}\n".encode()
+        return verb
+
+    return {
+        b"/status": {b"GET": status}, b"/status/metrics": {b"GET": figures},
+        b"/standby": {b"POST": moving("standby", operated.standby)},
+        b"/active": {b"POST": moving("active", operated.active)},
+    }
--- a/pulleyroute/net/service_client.py
+++ b/pulleyroute/net/service_client.py
@@ -17,7 +17,7 @@
 from pulleyroute.interface import Settings, WorkerId
 from pulleyroute.net.buffers import BufferPool, Ledger
 from pulleyroute.net.duty import Duty
-from pulleyroute.net.figures import Figures
+from pulleyroute.net.figures import Ended, Figures, by_status
 from pulleyroute.net.host import Answer, Call, Ending, Host, Job, Request, State
 from pulleyroute.net.http import Broken, Headers, Late, Malformed, Message, Stream
 from pulleyroute.net.instance import read_report
@@ -398,11 +398,11 @@
         if self._host.open >= self._most_jobs or self._host.held >= HELD * self._most_jobs:
             # Guards the descriptors that instances' calls need, without which no job would ever end, and the
             # memory that clients could fill who leave at once and come again.
-            self._figures.ended(name, 503)
+            self._figures.ended(name, Ended.DEFERRED)
             return (yield from self._tell(stream, 503, b"full", [retry_after(FULL_RETRY_AFTER)]))
         now = self._loop.now()
         if self.duty.refuses(now):
-            self._figures.ended(name, 503)
+            self._figures.ended(name, Ended.DEFERRED)
             # On standby: others serve, so there is no reason to wait.
             return (yield from self._tell(stream, 503, self.duty.phase.value.encode(), close=True))
         # Guards what comes late against SIGKILL: it gets an answer before that, whatever becomes of it.
@@ -438,7 +438,7 @@
         status, body, headers = _FORMS[answer.ending](answer)
         going = yield from self._tell(stream, status, body, headers)
         # Guards the truth of the count: a job ends with the last byte of its answer, and not before.
-        self._figures.ended(job.cls.name, status)
+        self._figures.ended(job.cls.name, by_status(status))
         return going
 
 
--- a/pulleyroute/service/assembly.py
+++ b/pulleyroute/service/assembly.py
@@ -18,10 +18,13 @@
 from pulleyroute.grpc.health import Health
 from pulleyroute.interface import Settings
 from pulleyroute.net.buffers import BufferPool, Ledger
+from pulleyroute.net.duty import Duty, Phase
+from pulleyroute.net.figures import Figures, Gauges
 from pulleyroute.net.host import Host
 from pulleyroute.net.http2 import Limits
 from pulleyroute.net.instance import Instances
 from pulleyroute.net.loop import Loop
+from pulleyroute.net.management import DESCRIPTORS, Management, verbs
 from pulleyroute.net.name_table import NameTable
 from pulleyroute.net.process import descriptors
 from pulleyroute.net.service_client import ServiceClient
@@ -72,10 +75,50 @@
         self._left: set[str] = set()
         limits = config.limits
         sockets, memory = (limits.sockets, limits.memory) if limits is not None else (1024, 256 * 1024**2)
-        self._budget = descriptors(sockets) - RESERVE
+        self._budget = descriptors(sockets) - RESERVE - (DESCRIPTORS if config.management is not None else 0)
+        self.figures = Figures()
+        self._duty = Duty()
         loop.moderation.span = limits.rest if limits is not None else 50
         self._ledger = Ledger(int(memory * READ_SHARE))
         self.apply(config)
+        if config.management is not None:
+            try:
+                Management(loop, self._buffers, verbs(self)).listen(config.management)
+            except OSError as exc:
+                raise CannotServe("management: cannot listen on {}:{}: {}".format(
+                    *config.management, exc.strerror)) from None
+        self._duty.serve()
+
+    # For the operators' door
+
+    @property
+    def phase(self) -> Phase:
+        """What it is doing for its clients."""
+        return self._duty.phase
+
+    def classes(self) -> list[str]:
+        """The names of the classes in force."""
+        return list(self.config.job_class) if self.config is not None else []
+
+    def gauges(self) -> Gauges:
+        """What is so at the moment, over all pools."""
+        pools = list(self.pools.values())
+        return Gauges(sum(each.host.open for each in pools + self._retired),
+                      sum(each.names.size for each in pools), sum(each.host.avoided for each in pools))
+
+    def standby(self) -> None:
+        """Drain, and stay: jobs' clients are sent elsewhere, and health says that nothing is served."""
+        if self._duty.standby(self._loop.now()):
+            self.health.change(False)
+            for each in self.clients.values():
+                each.standby()
+
+    def active(self) -> None:
+        """Back to work."""
+        if self._duty.active():
+            self.health.change(True)
+            for each in self.clients.values():
+                each.active()
 
     # Configurations
 
@@ -143,9 +186,10 @@
                             idle=0)
             back = Calls(self._loop, self._buffers, names, settings, limits, pool.slots, pool.message,
                          context,
-                         pool.tls.server_name if pool.tls is not None else "")
+                         pool.tls.server_name if pool.tls is not None else "", self.figures)
         else:
-            back = Instances(self._loop, self._buffers, names, settings, int(self._budget * INSTANCE_SHARE))
+            back = Instances(self._loop, self._buffers, names, settings, int(self._budget * INSTANCE_SHARE),
+                             self.figures)
         host = Host(self._loop, settings, self._random.getrandbits(64), names, back)
         if isinstance(back, Calls):
             back.host = host
@@ -177,7 +221,7 @@
             (Match(route.service, route.method, route.prefix),
              Target(pools[route.pool].host, numbers[route.job_class],
                     config.job_class[route.job_class].give_up,
-                    name))
+                    name, route.job_class))
             for name, route in config.route.items()
         ])
 
@@ -186,7 +230,7 @@
                 clients: dict[str, ServiceClient]) -> None:
         if listener.protocol == "grpc":
             front = Front(self._loop, self._buffers, routes, front_limits(listener), self.health, context,
-                          name)
+                          name, self.figures)
             front.listen(listener.address)
             fronts[name] = front
             return
@@ -194,9 +238,11 @@
         limits = listener.limits or ListenerLimits()
         most = min(limits.connections, int(self._budget * (1 - INSTANCE_SHARE)))
         each = ServiceClient(self._loop, self._buffers, self._ledger, running.host, running.settings, most,
-                             min(limits.calls, int(self._budget * JOB_SHARE)))
+                             min(limits.calls, int(self._budget * JOB_SHARE)), self.figures)
         each.left = lambda: self._left.add(name)
         each.listen(listener.address)
+        if self.phase is Phase.STANDBY:
+            each.standby()
         clients[name] = each
 
     def _let_go(self, name: str) -> None:
@@ -228,6 +274,7 @@
         if self._stopping:
             return
         self._stopping = True
+        self._duty.end(self._loop.now(), 0)
         self.health.change(False)
         for front in self.fronts.values():
             front.stop()
--- a/tests/net/scene.py
+++ b/tests/net/scene.py
@@ -6,17 +6,16 @@
 import re
 import socket
 import time
-from types import SimpleNamespace
 from typing import ClassVar
 
-from pulleyroute.__main__ import verbs
+from pulleyroute.__main__ import Parts
 from pulleyroute.interface import Settings
 from pulleyroute.net.buffers import BufferPool, Ledger
 from pulleyroute.net.figures import Figures
 from pulleyroute.net.host import Host
 from pulleyroute.net.instance import Instances
 from pulleyroute.net.loop import Loop
-from pulleyroute.net.management import Management
+from pulleyroute.net.management import Management, verbs
 from pulleyroute.net.name_table import NameTable
 from pulleyroute.net.service_client import ServiceClient
 from pulleyroute.settings import read_settings
@@ -158,9 +157,8 @@
         self.ledger = Ledger(1024 * 1024)
         self.clients = ServiceClient(
             self.loop, pool, self.ledger, self.host, self.settings, most, most_jobs, self.figures)
-        self.door = Management(self.loop, pool, verbs(SimpleNamespace(
-            clients=self.clients, host=self.host, names=self.names, figures=self.figures,
-            config=SimpleNamespace(settings=self.settings))))
+        parts = Parts(None, self.ledger, self.names, self.instances, self.clients, self.host, self.figures)
+        self.door = Management(self.loop, pool, verbs(parts))
         self.door.listen(("127.0.0.1", 0))
         self.serve()
         Scene.made.append(self)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -5,11 +5,13 @@
 import pytest
 from loguru import logger
 
+from pulleyroute.cli.serve import reload
 from pulleyroute.config import load
 from pulleyroute.grpc.messages import framed
 from pulleyroute.service import CannotServe, Service
 from tests.grpc.scene import Box, Peer
 from tests.net.scene import SECOND, Listener, StillLoop
+from tests.net.scene import Peer as Raw
 
 CONFIG = """
 listener "calls" {{
@@ -177,3 +179,57 @@
     play.loop.until(lambda: client.pull() and client.gone)
     play.loop.skip(SECOND)
     assert play.loop.stopped and play.loop.errors == []
+
+
+def test_the_door_shows_calls_and_moves_health_and_job_listeners(tmp_path):
+    play = Play(tmp_path)
+    config = play.config()
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        config.management = free.getsockname()
+    with pytest.raises(CannotServe, match=r"calls: cannot listen"):  # the first one holds the address
+        Service(play.loop, config)
+    config.listener["calls"].address = ("127.0.0.1", 0)
+    service = Service(play.loop, config)
+
+    def operate(method, path):
+        peer = Raw(play.loop, socket.create_connection(config.management))
+        peer.send(f"{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        head, body = peer.message()
+        return int(head.split()[1]), body.decode()
+
+    call = play.client(service.fronts["calls"].address[1]).call()
+    play.arrived()[1].whole().answer(b"done")
+    assert call.status() == 0
+    text = operate("GET", "/status/metrics")[1]
+    for line in ("answered.charge:1|c", "errored.charge:0|c", "sends:1|c", "current:0|g", "cluster_size:2|g"):
+        assert f"app.{line}\n" in text
+    assert operate("POST", "/standby") == (200, "standby\n") and not service.health.serving
+    assert operate("GET", "/status") == (200, "standby\n")
+    assert operate("POST", "/active") == (200, "serving\n") and service.health.serving
+    service.stop()
+    assert operate("POST", "/active")[0] == 409
+
+
+def test_a_listener_that_comes_in_a_standby_is_on_standby_and_the_counts_of_reloads_are_told(tmp_path):
+    play = Play(tmp_path)
+    play.service.standby()
+    text = play.path.read_text() + """
+listener "jobs" {
+  protocol = "jobs"
+  address  = "127.0.0.1:0"
+  pool     = "boxes"
+}
+pool "boxes" {
+  protocol  = "jobs"
+  discovery = "127.0.0.1:9"
+}
+"""
+    play.path.write_text(text)
+    reload(play.service, play.path)
+    assert not play.service.clients["jobs"].duty.ready
+    play.path.write_text("{")
+    reload(play.service, play.path)
+    assert (play.service.figures.conf_loaded, play.service.figures.conf_invalid) == (1, 1)
+    play.service.active()
+    assert play.service.clients["jobs"].duty.ready
