Keep an id with one process, and let nothing hold a hand-over up

Read again: an id that the old process still works on could be asked for at the new one and run twice; the shares now carry those ids, and the new one answers 409. A message too large to move would have kept the others back (service_client._moving broke off at it). A state that can't be used would have ended the start (handover._use); a descriptor that came with an unreadable message was closed by number though an object owned it. Call-backs are asked about in one way (_ask), also by the process between two.

New tests: messages of every kind cut at any byte, and clients that walk off or fall quiet at each stage, with descriptors, jobs, bytes and connections counted at the end.

--- a/pulleyroute/net/handover.py
+++ b/pulleyroute/net/handover.py
@@ -39,10 +39,13 @@
 PART = 32  # instances in one message
 STATE_TIME = 1_000_000  # for all of the old process's state
 CALL_TIME = 1_000_000  # for the word that a call-back has been heard; the instance asks again after it
+CALL_LOOK = 2_000  # between two looks whether it has come
 SEND_TIME = 1_000_000
 SHARE_PAUSE = 100_000
 
 Values = dict[str, Any]
+# What is done with a message: its kind, its values, its body and the socket that came with it.
+Heard = Callable[[str, Values, bytes, socket.socket | None], None]
 
 
 class Unreadable(ValueError):
@@ -76,7 +79,7 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2 * LARGEST)
         self.closed = False
         self.shift = 0  # from the other's clock to this one's
-        self.heard: Callable[[str, Values, bytes, int | None], None] = lambda kind, values, body, fd: None
+        self.heard: Heard = lambda kind, values, body, sock: None
         self.gone: Callable[[], None] = lambda: None
         self._task: Task | None = None
 
@@ -135,17 +138,17 @@
             if not data:
                 self.close("it has closed the connection")
                 return
-            fd = fds[0] if fds else None
+            sock = socket.socket(fileno=fds[0]) if fds else None
             try:
                 if flags & socket.MSG_TRUNC:
                     raise Unreadable("a message is too long")
-                self.heard(*unpack(data), fd)
+                self.heard(*unpack(data), sock)
             except Exception as exc:
                 # Guards against another version, or a mistake, that both would go on with.
                 logger.bind(event="handover.unreadable").opt(exception=exc).error(
                     "hand-over: a message can't be used: {}", exc)
-                if fd is not None:
-                    os.close(fd)
+                if sock is not None:
+                    sock.close()
                 self.close("a message can't be used")
                 return
             if self.closed:
@@ -172,9 +175,8 @@
         self._before: Link | None = None
         self._after: Link | None = None
         self._whole = False  # the state has come, all of it
-        self._waiter: Task | None = None
         self._numbers = itertools.count()
-        self._asked: dict[int, list[Any]] = {}  # call-backs on the way: who waits, and what was answered
+        self._asked: dict[int, bool | None] = {}  # call-backs on the way, and what was answered
         clients.elsewhere = self.elsewhere
 
     # The new process
@@ -216,18 +218,19 @@
             return None
         return sock
 
-    def _told(self, link: Link, state: list[Values]) -> Callable[[str, Values, bytes, int | None], None]:
-        def heard(kind: str, values: Values, body: bytes, fd: int | None) -> None:
+    def _told(self, link: Link, state: list[Values]) -> Heard:
+        def heard(kind: str, values: Values, body: bytes, sock: socket.socket | None) -> None:
             if kind == "state":
                 if values["version"] != VERSION:
                     raise Unreadable(f"it speaks version {values['version']}, this process {VERSION}")
                 link.shift = self._loop.now() - values["now"]
                 state.append(values)
                 self._whole = values["last"]
-            elif kind == "connection" and fd is not None:
-                self._clients.receive(socket.socket(fileno=fd), values, body, link.shift)
+            elif kind == "connection" and sock is not None:
+                self._clients.receive(sock, values, body, link.shift)
             elif kind == "share":
                 self._budgets.share((values["descriptors"], values["bytes"]))
+                self._clients.theirs = frozenset(values["jobs"])
             else:
                 self._calls(link, kind, values, body)
         return heard
@@ -238,22 +241,26 @@
             # Guards the start against an old process that hangs: the new one does without it.
             link.close("it did not tell its state in time")
             return Phase.SERVING
-        phase = Phase.SERVING
-        for values in state:
-            if values.get("list") is not None:
-                self._names.load_known(values["list"])
-                # At once: what discovery has told the old one since is not to be missed.
-                self._names.watch(True)
-            for item in values.get("known", []):
-                self._host.learn(item, link.shift)
-            if values.get("phase") == Phase.STANDBY.value:
-                phase = Phase.STANDBY
-        return phase
+        try:
+            for values in state:
+                if values.get("list") is not None:
+                    self._names.load_known(values["list"])
+                    # At once: what discovery has told the old one since is not to be missed.
+                    self._names.watch(True)
+                for item in values.get("known", []):
+                    self._host.learn(item, link.shift)
+        except Exception as exc:
+            # Guards the start: whatever the old process says, the new one has to serve.
+            logger.bind(event="handover.unreadable").opt(exception=exc).error(
+                "hand-over: the state can't be used: {}", exc)
+            link.close("its state can't be used")
+            return Phase.SERVING
+        return Phase.STANDBY if state[0].get("phase") == Phase.STANDBY.value else Phase.SERVING
 
     def _left_alone(self) -> None:
         self._before = None
+        self._clients.theirs = frozenset()
         self._budgets.share(None)
-        self._wake()
 
     # The old process
 
@@ -299,8 +306,8 @@
             link.heard = self._asks(link)
             link.start()
 
-    def _asks(self, link: Link) -> Callable[[str, Values, bytes, int | None], None]:
-        def heard(kind: str, values: Values, body: bytes, fd: int | None) -> None:
+    def _asks(self, link: Link) -> Heard:
+        def heard(kind: str, values: Values, body: bytes, sock: socket.socket | None) -> None:
             if kind == "hello":
                 link.shift = self._loop.now() - values["now"]
                 if values["version"] != VERSION:
@@ -338,50 +345,47 @@
     def _sharing(self, link: Link) -> Coroutine[None]:
         while not link.closed:
             descriptors, held = self._budgets.held()
-            link.send("share", {"descriptors": descriptors, "bytes": held})
+            # Those that could not move yet: their ids are taken for both processes.
+            link.send("share", {"descriptors": descriptors, "bytes": held, "jobs": self._host.ids()})
             yield Wait(until=self._loop.now() + SHARE_PAUSE)
 
     def _taken_back(self) -> None:
         """The new process is gone: unless this one was told to end, it goes on as before."""
         self._after = None
-        self._wake()
         self._clients.resume()
         if self._clients.duty.takes_clients:
             self.open_door()
 
     # Call-backs
 
-    def elsewhere(self, call: Call, body: bytes, task: Task | None) -> Coroutine[bool]:
+    def elsewhere(self, call: Call, body: bytes) -> Coroutine[bool]:
         """A call-back for a job that is not here; False if the holder may not have heard it."""
         for link in (self._before, self._after):
-            if link is None or task is None:
-                continue
-            number = next(self._numbers)
-            answer = self._asked[number] = [task, None]
-            until = self._loop.now() + CALL_TIME
-            try:
-                while not link.send("call", {"number": number, "txn": call.txn}, body):
-                    if link.closed or self._loop.now() >= until:
-                        break
-                    yield Wait(until=self._loop.now() + 5_000)
-                while answer[1] is None and not link.closed and self._loop.now() < until:
-                    yield Wait(until=until)
-            finally:
-                del self._asked[number]
-            if answer[1]:
-                return True
-            if answer[1] is None and not link.closed:
-                return False
+            if link is not None:
+                heard = yield from self._ask(link, call.txn, body)
+                if heard is not False:
+                    return heard is True
         # Nobody has it, or it moved here while its call-back was asked about: then it is known by now.
         self._host.call(call)
         return True
 
+    def _ask(self, link: Link, txn: str, body: bytes) -> Coroutine[bool | None]:
+        """Whether the process at the link has the job and has heard the call; None if it does not say."""
+        number, until = next(self._numbers), self._loop.now() + CALL_TIME
+        self._asked[number] = None
+        try:
+            sent = False
+            while not link.closed and self._loop.now() < until and self._asked[number] is None:
+                sent = sent or link.send("call", {"number": number, "txn": txn}, body)
+                yield Wait(until=min(until, self._loop.now() + CALL_LOOK))
+            return False if link.closed else self._asked[number]
+        finally:
+            del self._asked[number]
+
     def _calls(self, link: Link, kind: str, values: Values, body: bytes) -> None:
         if kind == "called":
-            asked = self._asked.get(values["number"])
-            if asked is not None:
-                asked[1] = values["heard"]
-                asked[0].nudge()
+            if values["number"] in self._asked:
+                self._asked[values["number"]] = bool(values["heard"])
         elif kind == "call":
             heard = self._host.knows(values["txn"])
             if heard:
@@ -392,32 +396,14 @@
             if on is None:
                 link.send("called", {"number": values["number"], "heard": False})
             else:  # guards two upgrades in a row: the one beyond may have it
-                self._loop.spawn(self._passing(link, on, values, body), "hand-over call")
+                self._loop.spawn(self._pass_on(link, on, values, body), "hand-over call")
         else:
             raise Unreadable(f"a message of kind {kind}")
 
-    def _passing(self, link: Link, on: Link, values: Values, body: bytes) -> Coroutine[None]:
-        number = next(self._numbers)
-        until = self._loop.now() + CALL_TIME
-        answer = self._asked[number] = [_Nobody(), None]
-        try:
-            on.send("call", {"number": number, "txn": values["txn"]}, body)
-            while answer[1] is None and not on.closed and self._loop.now() < until:
-                yield Wait(until=self._loop.now() + 5_000)
-        finally:
-            del self._asked[number]
-        if answer[1] is not None or on.closed:
-            link.send("called", {"number": values["number"], "heard": bool(answer[1])})
-
-    def _wake(self) -> None:
-        for task, _ in self._asked.values():
-            task.nudge()
-
-
-class _Nobody:
-    """Waits for nothing that a nudge would end."""
-
-    def nudge(self) -> None: ...
+    def _pass_on(self, link: Link, on: Link, values: Values, body: bytes) -> Coroutine[None]:
+        heard = yield from self._ask(on, values["txn"], body)
+        if heard is not None:  # else the one that asks is left to its own time
+            link.send("called", {"number": values["number"], "heard": heard})
 
 
 def inherited(text: str) -> socket.socket:
--- a/pulleyroute/net/host.py
+++ b/pulleyroute/net/host.py
@@ -283,6 +283,10 @@
         """The job of this id that is being worked on."""
         return self._by_txn.get(txn)
 
+    def ids(self) -> list[str]:
+        """Of the jobs that are being worked on."""
+        return list(self._by_txn)
+
     def knowledge(self) -> list[dict[str, Any]]:
         """What the decisions know: in general, then of each instance."""
         rules = self._dispatcher
--- a/pulleyroute/net/service_client.py
+++ b/pulleyroute/net/service_client.py
@@ -39,6 +39,7 @@
 WRITE_TIME = 10_000_000
 EARLY_BYTES = 64 * 1024  # read ahead of an answer at most
 MOVE_PAUSE = 10_000  # between two looks at what may move to another process by now
+MOST_MISSED = 4  # that do not go before the rest waits too
 HELD = 2  # requests held for each that may wait: executions go on for a while after their client left
 FULL_RETRY_AFTER = 1_000_000  # advice where there is no room for another request
 LABELS = ("slots", "memory")
@@ -97,7 +98,8 @@
         self._figures = figures or Figures()
         self._move: Move | None = None  # to another process, once it has taken over
         # A call-back for a job that is not here: whether it was heard by whoever has it, or nobody has.
-        self.elsewhere: Callable[[Call, bytes, Task | None], Coroutine[bool]] | None = None
+        self.elsewhere: Callable[[Call, bytes], Coroutine[bool]] | None = None
+        self.theirs: frozenset[str] = frozenset()  # ids that the process before this one still works on
         self.left: Callable[[], None] = loop.stop  # once nothing is owed and no connection is left
 
     def listen(self, address: tuple[str, int]) -> None:
@@ -165,6 +167,7 @@
         move = self._move
         if move is None:
             return
+        missed = 0
         for connection in list(self._connections):
             job, stream = connection.job, connection.stream
             if job is not None and self._host.movable(job):
@@ -176,7 +179,11 @@
             else:
                 continue
             if not move(values, body, stream.fileno()):
-                break  # the other process is behind: this one keeps them for now
+                # The other process is behind, or this one is too large: it is kept for now.
+                missed += 1
+                if missed == MOST_MISSED:
+                    break
+                continue
             # From here on the other process has it; this one's copy of the descriptor is closed unsaid.
             if job is not None:
                 self._host.release(job)
@@ -192,7 +199,11 @@
         connection = Connection(stream, values.get("since", self._loop.now()) + shift)
         connection.known = values["known"]
         first = None
-        if "job" in values:
+        if "job" in values and self._host.knows(values["job"]["txn"]):
+            # Guards the one execution of an id: this one was asked for twice, here and there.
+            stream.resume(values["pending"], len(body))
+            first = self._tell(stream, 502, b"failed", close=True)
+        elif "job" in values:
             stream.resume(values["pending"], len(body))
             connection.working = True
             connection.job = self._host.take_over(values["job"], body, self._replying(connection), shift)
@@ -377,7 +388,7 @@
             connection.known = True
             if self._host.knows(call.txn) or self.elsewhere is None:
                 self._host.call(call)
-            elif not (yield from self.elsewhere(call, message.body, connection.task)):
+            elif not (yield from self.elsewhere(call, message.body)):
                 # Guards the job: the other process has not said that it heard, so the instance has to say it
                 # again.
                 return (yield from self._tell(stream, 503, b"the holder of the job does not answer"))
@@ -391,7 +402,7 @@
             request = read_request(message, job_class)
         except (ValueError, Malformed) as exc:
             return (yield from self._tell(stream, 400, str(exc).encode()))
-        if self._host.knows(request.txn):
+        if self._host.knows(request.txn) or request.txn in self.theirs:
             return (yield from self._tell(stream, 409, b"a request of this id is being worked on"))
         connection.known = True
         name = self._settings.classes[job_class].name
--- a/tests/lab/test_upgrade.py
+++ b/tests/lab/test_upgrade.py
@@ -16,7 +16,7 @@
 sys.exit(main())
 """
 NO_RELAY = """
-def elsewhere(self, call, body, task):
+def elsewhere(self, call, body):
     self._host.call(call)
     return True
     yield
--- a/tests/net/test_handover.py
+++ b/tests/net/test_handover.py
@@ -1,5 +1,6 @@
 """Two processes of one dispatcher on one loop: what moves, what is relayed, what happens when one is gone."""
 
+import json
 import os
 import socket
 import subprocess
@@ -13,6 +14,7 @@
 from pulleyroute.net.duty import Phase
 from pulleyroute.net.handover import NAME, STATE_TIME, Handover, Link, Unreadable, inherited, pack, unpack
 from pulleyroute.net.loop import Task
+from pulleyroute.net.service_client import ServiceClient
 from tests.net.scene import SECOND, TAKEN, Scene
 
 READY = b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -98,7 +100,14 @@
 
 
 def told(scene, txn, instance, state="done"):
-    return scene.call(id=txn, state=state, result=f"of {txn}", **{"from": instance})
+    """A call-back, with time going on as it may be relayed: the head of its answer."""
+    body = json.dumps({"id": txn, "state": state, "result": f"of {txn}", "from": instance}).encode()
+    peer = scene.client()
+    peer.send(b"POST /callback HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+    passing(scene, peer.pull)
+    head = peer.message()[0]
+    peer.close()
+    return head
 
 
 def test_connections_and_jobs_move_and_nobody_notices(old):
@@ -178,12 +187,56 @@
     new = old.next()
     passing(old, lambda: old.clients.duty.phase is Phase.HANDED)
     old.handover._after._task.cancel()  # it hangs
-    peer = new.client()
-    body = b'{"id":"t1","from":"s-0","state":"done","result":"r"}'
-    peer.send(b"POST /callback HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
-    new.loop.settle()
-    new.loop.skip(SECOND + 50_000)
-    assert b" 503 " in peer.message()[0]
+    assert b" 503 " in told(new, "t1", "s-0")
+
+
+def test_an_id_that_the_old_process_works_on_is_no_new_job_of_the_new_one(old):
+    # Guards the rule on repeats against a client that sends another's id while its job cannot move yet.
+    client, instance, peer = open_job(old, "/charge", "t1", accept=False)
+    new = old.next()
+    passing(old, lambda: new.clients.theirs)
+    assert b" 409 " in new.ask("/charge", "t1").message()[0]
+    peer.send(TAKEN)
+    passing(old, lambda: new.host.knows("t1"))
+    assert b" 409 " in new.ask("/charge", "t1").message()[0]
+    told(new, "t1", instance)
+    assert client.message()[1] == b"of t1"
+
+
+def test_a_job_that_is_there_twice_has_one_execution_and_each_client_an_answer(old):
+    client, instance, _ = open_job(old, "/charge", "t1")
+    new = Process.__new__(Process)
+    receive = ServiceClient.receive
+
+    def late(clients, *more):  # somebody takes the id at the last moment
+        other.append(new.ask("/charge", "t1"))
+        new.loop.until(lambda: new.host.knows("t1"))
+        receive(clients, *more)
+
+    other = []
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(ServiceClient, "receive", late)
+        new.__init__(old.folder, old.platform, beside=old)
+        passing(old, lambda: other)
+        assert b" 502 " in client.message()[0]
+    other[0].close()
+
+
+def test_what_is_too_large_to_move_does_not_keep_the_others_back(old, monkeypatch):
+    jobs = [open_job(old, "/read", f"t{n}") for n in range(3)]
+    send, huge = Link.send, "t1"
+
+    def limited(link, kind, values, body=b"", fd=None):
+        job = values.get("job")
+        return not (job and job["txn"] == huge) and send(link, kind, values, body, fd)
+
+    monkeypatch.setattr(Link, "send", limited)
+    new = old.next()
+    passing(old, lambda: new.host.knows("t0") and new.host.knows("t2"))
+    assert old.host.knows("t1")
+    for n, (client, instance, _) in enumerate(jobs):
+        told(new, f"t{n}", instance)
+        assert client.message()[1] == f"of t{n}".encode()
 
 
 def test_two_upgrades_in_a_row_relay_through_the_one_between(old):
@@ -192,11 +245,7 @@
     passing(old, lambda: old.clients.duty.phase is Phase.HANDED)
     new = middle.next()
     passing(old, lambda: middle.clients.duty.phase is Phase.HANDED)
-    peer = new.client()
-    body = f'{{"id":"t1","from":"{instance}","state":"done","result":"r"}}'.encode()
-    peer.send(b"POST /callback HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
-    passing(new, peer.pull)
-    assert b" 204 " in peer.message()[0] and client.message()[1] == b"r"
+    assert b" 204 " in told(new, "t1", instance) and client.message()[1] == b"of t1"
 
 
 def test_what_was_learnt_goes_over_and_the_budgets_of_cold_instances_count_once(old):
@@ -295,7 +344,7 @@
     passing(old, lambda: new.budgets.other is None)
 
 
-@pytest.mark.parametrize("how", ["stale", "silent", "version", "garbage", "half", "no folder"])
+@pytest.mark.parametrize("how", ["stale", "silent", "version", "garbage", "half", "no folder", "nonsense"])
 def test_whatever_is_at_the_meeting_place_the_new_process_serves_in_time(tmp_path, how):
     path, door = tmp_path / NAME, socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
     door.bind(str(path))
@@ -305,7 +354,9 @@
         door.listen()
     with socket.create_server(("127.0.0.1", 0)) as platform:
         answer = {"version": pack("state", {"version": 99, "now": 1, "last": True}), "garbage": b"\xff{",
-                  "half": pack("state", {"version": 1, "now": 1, "last": False, "phase": "standby"})}.get(how)
+                  "half": pack("state", {"version": 1, "now": 1, "last": False, "phase": "standby"}),
+                  "nonsense": pack("state", {"version": 1, "now": 1, "last": True, "known": [{"id": 5}]}),
+                  }.get(how)
         if answer is not None:
             # What it will say waits in its socket: the new process reads it once it has connected.
             import threading
--- /dev/null
+++ b/tests/net/test_less_room.py
@@ -0,0 +1,107 @@
+"""Messages cut at any byte, quiet connections, clients that walk off: nothing is lost and nothing stays."""
+
+import json
+
+import pytest
+
+from tests.net.scene import SECOND, TAKEN, Scene
+
+
+def in_two(scene, peer, data, at):
+    """Send it in two pieces, the second once the first has been read."""
+    peer.send(data[:at])
+    for _ in range(3):
+        scene.loop.turn(0.0005)
+    peer.send(data[at:])
+
+
+def request(txn, body=b"hello"):
+    return (b"POST /read?k=7f HTTP/1.1\r\nHost: api\r\nX-Txn: %s\r\nX-Remaining-Ms: 4000\r\n"
+            b"Content-Length: %d\r\n\r\n" % (txn.encode(), len(body))) + body
+
+
+def chunked(txn):
+    return (b"POST /read HTTP/1.1\r\nHost: api\r\nX-Txn: %s\r\nX-Remaining-Ms: 4000\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3;x=y\r\nllo\r\n0\r\n\r\n" % txn.encode())
+
+
+@pytest.mark.parametrize("form", [request, chunked])
+def test_a_job_its_202_and_its_call_back_may_be_cut_at_any_byte(form):
+    scene = Scene(instances=1)
+    client, back, runner = scene.client(), scene.client(), None
+    length = len(form("t000"))
+    for at in range(1, length):
+        txn = f"t{at:03}"
+        in_two(scene, client, form(txn), at)
+        runner = runner or scene.runners["s-0"].accept()
+        head, body = runner.message()
+        assert txn.encode() in head and body == b"hello"
+        in_two(scene, runner, TAKEN, at % len(TAKEN))
+        call = json.dumps({"id": txn, "from": "s-0", "state": "done", "result": "r"}).encode()
+        call = b"POST /callback HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % len(call) + call
+        in_two(scene, back, call, at % len(call))
+        assert b" 204 " in back.message()[0] and client.message()[1] == b"r"
+    assert scene.shown() == {"answered.read": length - 1, "sends": length - 1, "cluster_size": 1}
+    assert not scene.host.held and not scene.loop.errors
+
+
+def test_an_operators_call_may_be_cut_at_any_byte():
+    scene = Scene()
+    data = b"GET /status HTTP/1.1\r\nHost: x\r\n\r\n"
+    for at in range(1, len(data)):
+        peer = scene.operator()
+        in_two(scene, peer, data, at)
+        assert b" 200 " in peer.message()[0]
+
+
+def test_the_list_and_its_changes_may_be_cut_at_any_byte():
+    scene = Scene(instances=2)
+    scene.names.watch(True)
+    watch = scene.discovery.accept()
+    watch.message()
+    watch.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    for at in range(1, 60):
+        line = json.dumps(scene.table("s-1", phase="leaving" if at % 2 else "active", complete=False,
+                                      revision=10 + at)).encode() + b"\n"
+        in_two(scene, watch, b"%x\r\n%s\r\n" % (len(line), line), at % (len(line) + 3) or 1)
+        scene.loop.until(lambda at=at: scene.names.version == 10 + at)
+        assert scene.names.active(b"s-1") is (at % 2 == 0)
+
+
+STAGES = ["connected", "half a head", "half a body", "sent", "taken", "started", "answered"]
+
+
+@pytest.mark.parametrize("stage", STAGES)
+@pytest.mark.parametrize("how", ["walks off", "falls quiet"])
+def test_whoever_leaves_or_falls_quiet_at_any_stage_leaves_nothing_behind(stage, how):
+    scene = Scene(instances=1)
+    descriptors = scene.clients.count
+    data = request("t1")
+    client = scene.client()
+    client.send({"connected": b"", "half a head": data[:30], "half a body": data[:-2]}.get(stage, data))
+    scene.loop.settle()
+    runner = None
+    if STAGES.index(stage) >= STAGES.index("sent"):
+        runner = scene.runners["s-0"].accept()
+        runner.message()
+    if STAGES.index(stage) >= STAGES.index("taken"):
+        runner.send(TAKEN)
+        scene.loop.settle()
+    if STAGES.index(stage) >= STAGES.index("started"):
+        scene.call(**{"id": "t1", "from": "s-0", "state": "started"})
+    if stage == "answered":
+        scene.call(**{"id": "t1", "from": "s-0", "state": "done", "result": "r"})
+    if how == "walks off":
+        client.close()
+        scene.loop.settle()
+        assert not scene.host.open and scene.clients.count == descriptors
+        if stage in ("taken", "started"):  # what runs for nobody is called off
+            deleted = scene.runners["s-0"]
+            head = runner.pull() or deleted.accept().message()[0]
+            assert b"DELETE /jobs/t1" in head
+    # Whatever it is that falls quiet: known clients may be idle for 90 s, nothing is held for longer.
+    for _ in range(30):
+        scene.loop.skip(4 * SECOND)
+    assert not scene.host.held and not scene.host.open and not scene.ledger.held
+    assert scene.clients.count == descriptors and scene.instances.count == 0
+    client.close()
