Meet only at the same listener's place and with the same user's process

Without TMPDIR two dispatchers of one machine would have met at one path and taken each other's jobs; the path now carries the listener's address, and the other end has to be of the same user. A SIGTERM that comes before the new process serves no longer has it take over first.

--- a/pulleyroute/__main__.py
+++ b/pulleyroute/__main__.py
@@ -21,7 +21,7 @@
 from pulleyroute.net.config import Config, ConfigError, load_config
 from pulleyroute.net.duty import Phase
 from pulleyroute.net.figures import Figures, Gauges
-from pulleyroute.net.handover import Handover, inherited
+from pulleyroute.net.handover import Handover, inherited, place
 from pulleyroute.net.host import Host
 from pulleyroute.net.instance import Instances
 from pulleyroute.net.loop import Loop
@@ -132,8 +132,8 @@
     if config.management is not None:
         listening(config.management, Management(loop, pool, verbs(parts)).listen)
     if listener is not None:
-        folder = os.environ.get("TMPDIR") or "/tmp"
-        handover = Handover(loop, folder, clients, host, names, parts)
+        meeting = place(os.environ.get("TMPDIR") or "/tmp", listener)
+        handover = Handover(loop, meeting, clients, host, names, parts)
         loop.spawn(handover.take_over(listener), "hand-over start")
     return parts
 
--- a/pulleyroute/net/handover.py
+++ b/pulleyroute/net/handover.py
@@ -21,6 +21,7 @@
 import json
 import os
 import socket
+import struct
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any, Protocol
@@ -34,7 +35,6 @@
 from pulleyroute.net.service_client import ServiceClient, read_call
 
 VERSION = 1
-NAME = "pulleyroute.sock"
 LARGEST = 180 * 1024  # of a message: a body of 64 KiB and a head, within what a socket's buffer takes
 PART = 32  # instances in one message
 STATE_TIME = 1_000_000  # for all of the old process's state
@@ -165,11 +165,12 @@
 class Handover:
     """Owns the meeting place and the links: to the process before this one, and to the one after it."""
 
-    def __init__(self, loop: Loop, folder: str, clients: ServiceClient, host: Host, names: NameTable,
+    def __init__(self, loop: Loop, path: str, clients: ServiceClient, host: Host, names: NameTable,
                  budgets: Budgets) -> None:
+        """`path`: the meeting place, from `place`."""
         self._loop, self._clients, self._host, self._names = loop, clients, host, names
         self._budgets = budgets
-        self._path = str(Path(folder) / NAME)
+        self._path = path
         self._door: socket.socket | None = None
         self._knocking: Task | None = None
         self._before: Link | None = None
@@ -195,6 +196,8 @@
             while not (link.closed or self._whole) and self._loop.now() < until:
                 yield Wait(until=min(until, self._loop.now() + 5_000))
             phase = self._use(link, state)
+        if self._clients.duty.phase is Phase.ENDING:
+            return  # SIGTERM came first: the old process, if there is one, goes on
         self._clients.listener.listen_on(listener)
         self._clients.duty.serve()
         if phase is Phase.STANDBY:
@@ -210,6 +213,8 @@
             sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
             sock.setblocking(False)
             sock.connect(self._path)
+            if not own(sock):
+                raise OSError("another user's process is there")
         except OSError as exc:
             # No file, a stale one, a process that has hung up: there is nobody to take over from.
             logger.bind(event="handover.alone").info("hand-over: nobody to take over from: {}", exc)
@@ -302,6 +307,9 @@
             except OSError as exc:
                 logger.bind(event="handover.none").warning("hand-over: cannot be met: {}", exc)
                 return
+            if not own(sock):
+                sock.close()
+                continue
             link = Link(self._loop, sock)
             link.heard = self._asks(link)
             link.start()
@@ -406,6 +414,18 @@
             link.send("called", {"number": values["number"], "heard": heard})
 
 
+def place(folder: str, listener: socket.socket) -> str:
+    """Where the processes that share this listener meet, and nobody else who uses the folder."""
+    host, port = listener.getsockname()
+    return str(Path(folder) / f"pulleyroute-{host}-{port}.sock")
+
+
+def own(sock: socket.socket) -> bool:
+    """Whether the process at the other end is of the same user: jobs are handed to nobody else."""
+    _, user, _ = struct.unpack("3i", sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, 12))
+    return bool(user == os.getuid())
+
+
 def inherited(text: str) -> socket.socket:
     """The listening socket that `$PROXY_FD` names; raises ValueError if it names none."""
     try:
--- a/tests/net/test_handover.py
+++ b/tests/net/test_handover.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from pulleyroute.net.duty import Phase
-from pulleyroute.net.handover import NAME, STATE_TIME, Handover, Link, Unreadable, inherited, pack, unpack
+from pulleyroute.net.handover import STATE_TIME, Handover, Link, Unreadable, inherited, pack, place, unpack
 from pulleyroute.net.loop import Task
 from pulleyroute.net.service_client import ServiceClient
 from tests.net.scene import SECOND, TAKEN, Scene
@@ -40,8 +40,9 @@
 
     def serve(self):
         self.budgets = Budgets()
-        self.handover = Handover(self.loop, self.folder, self.clients, self.host, self.names, self.budgets)
         listener = inherited(str(os.dup(self.platform.fileno())))
+        self.handover = Handover(self.loop, place(self.folder, listener), self.clients, self.host, self.names,
+                                 self.budgets)
         self.starting = Task(self.loop, self.handover.take_over(listener), "start")
         self.starting.start()
         passing(self, lambda: self.starting.done)
@@ -329,6 +330,20 @@
     idle.close()
 
 
+def test_another_users_process_at_the_meeting_place_is_nobody_and_sigterm_before_the_start_ends_it(
+        old, monkeypatch):
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "getuid", lambda: 77777)
+        stranger = old.next()
+    old.loop.skip(100_000)
+    assert stranger.clients.duty.ready and old.clients.duty.phase is Phase.SERVING
+    new = Process.__new__(Process)
+    with monkeypatch.context() as patch:
+        patch.setattr(Handover, "_use", lambda handover, *_: new.clients.stop() or Phase.SERVING)
+        new.__init__(old.folder, old.platform, beside=old)
+    assert new.clients.listener.sock is None and new.clients.duty.phase is Phase.ENDING
+
+
 def test_a_standby_goes_over(old):
     old.clients.standby()
     new = old.next()
@@ -346,13 +361,14 @@
 
 @pytest.mark.parametrize("how", ["stale", "silent", "version", "garbage", "half", "no folder", "nonsense"])
 def test_whatever_is_at_the_meeting_place_the_new_process_serves_in_time(tmp_path, how):
-    path, door = tmp_path / NAME, socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-    door.bind(str(path))
+    platform = socket.create_server(("127.0.0.1", 0))
+    door = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    door.bind(place(str(tmp_path), platform))
     if how == "stale":
         door.close()
     else:
         door.listen()
-    with socket.create_server(("127.0.0.1", 0)) as platform:
+    with platform:
         answer = {"version": pack("state", {"version": 99, "now": 1, "last": True}), "garbage": b"\xff{",
                   "half": pack("state", {"version": 1, "now": 1, "last": False, "phase": "standby"}),
                   "nonsense": pack("state", {"version": 1, "now": 1, "last": True, "known": [{"id": 5}]}),
