--- a/tests/net/test_duty.py
+++ b/tests/net/test_duty.py
@@ -1,10 +1,12 @@
 """The state machine of service, by its calls alone; then what it does to connections."""
 
+from dataclasses import replace
+
 from hypothesis import given
 from hypothesis import strategies as st
 
 from pulleyroute.net.duty import NEVER, STANDBY_IDLE, Duty, Phase
-from tests.net.scene import SECOND, Scene
+from tests.net.scene import SECOND, TAKEN, Scene
 
 LONGEST = 25 * SECOND
 
@@ -136,3 +138,29 @@
     assert not silent.ended
     scene.loop.skip(300_000)
     gone(scene, silent)
+
+
+def test_a_job_of_twenty_seconds_lasts_through_a_drain_and_a_reload_in_it():
+    scene = Scene()
+    settings = scene.host._settings
+    slow = replace(settings, classes=[replace(cls, give_up=30 * SECOND) for cls in settings.classes])
+    for part in (scene.instances, scene.host, scene.clients):
+        part.adopt(slow)
+    client = scene.ask("/charge", remaining=30000)
+    scene.loop.until(lambda: scene.host.open)
+    runner = scene.runners["s-0"].accept()
+    runner.message()
+    runner.send(TAKEN)
+    scene.loop.settle()
+    scene.clients.standby()
+    scene.loop.skip(10 * SECOND)
+    for part in (scene.instances, scene.host, scene.clients):
+        part.adopt(settings)  # shorter for who comes next; neither the drain nor this job hears of it
+    assert not scene.clients.duty.ready
+    scene.loop.skip(10 * SECOND)
+    done(scene, "t1")
+    head, body = client.message()
+    assert b" 200 " in head and b"connection: close" in head.lower() and body == b"r"
+    assert scene.shown() == {"answered.charge": 1, "sends": 1, "cluster_size": 1}
+    scene.clients.active()
+    assert known(scene)
