Connect in one way for both protocols, which says when descriptors run out

http2.dial and http.connect connected a socket twice over, and the first let an OSError through: the coroutine that brings a gRPC connection up ended by it, and the calls that waited there ended with their deadline (grpc/back._connecting). Now http.dial serves both; a want of descriptors is told as Crowded, ends the executions as never sent and blames no instance.

--- a/pulleyroute/grpc/back.py
+++ b/pulleyroute/grpc/back.py
@@ -16,8 +16,8 @@
 from pulleyroute.net.buffers import BufferPool
 from pulleyroute.net.figures import Figures
 from pulleyroute.net.host import Host
-from pulleyroute.net.http import Broken, Headers
-from pulleyroute.net.http2 import Code, Http2, Limits, dial
+from pulleyroute.net.http import Broken, Crowded, Headers, Late, dial
+from pulleyroute.net.http2 import Code, Http2, Limits
 from pulleyroute.net.instance import Ended, Execution, Probed, Rejected
 from pulleyroute.net.loop import Coroutine, Loop, Task, Wait
 from pulleyroute.net.name_table import NameTable
@@ -194,16 +194,18 @@
                 yield Wait(until=limit)
             if connection.closed:
                 raise Broken("it ended before its settings came")
-        except Broken as exc:
+        except (Broken, Crowded, Late) as exc:
             logger.bind(event="instance.unreachable", instance=instance.decode()).warning(
-                "instance {}: could not connect: {}", instance.decode(), exc)
+                "instance {}: could not connect: {}", instance.decode(), exc or "not up in time")
             if connection is not None:
                 connection.close("no use")
-            site.doubted = True
+            # Guards the instance: descriptors that ran out here are no fault of its.
+            crowded = isinstance(exc, Crowded)
+            site.doubted = not crowded
             waiting, site.waiting = list(site.waiting), {}
             for execution in waiting:
                 self._let_go(execution)
-                self.ended(execution, Outcome.CONNECT_FAILED, None)
+                self.ended(execution, Outcome.MOOT if crowded else Outcome.CONNECT_FAILED, None)
             return
         connection.on_ready = None
         site.doubted = False
--- a/pulleyroute/net/http.py
+++ b/pulleyroute/net/http.py
@@ -302,14 +302,13 @@
         return message
 
 
-def connect(loop: Loop, pool: BufferPool, address: tuple[str, int], until: int) -> Coroutine[Stream]:
-    """A new connection as a client."""
+def dial(loop: Loop, address: tuple[str, int], until: int) -> Coroutine[socket.socket]:
+    """A connected socket, without Nagle's delay; raises Crowded, Broken, or Late once `until` is over."""
     try:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
     except OSError as exc:
         # Guards against blaming a peer for what is this process's own want: it has run out of descriptors.
         raise Crowded(str(exc)) from None
-    stream = Stream(loop, pool, sock, server=False)
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
@@ -326,13 +325,18 @@
                     break
                 except OSError:
                     continue  # woken too early: a descriptor's number may have a past within one turn
-    except OSError as exc:
-        stream.close()
-        raise Broken(str(exc)) from None
-    except BaseException:
-        stream.close()
+    except BaseException as exc:
+        loop.forget(sock.fileno())
+        sock.close()
+        if isinstance(exc, OSError):
+            raise Broken(str(exc)) from None
         raise
-    return stream
+    return sock
+
+
+def connect(loop: Loop, pool: BufferPool, address: tuple[str, int], until: int) -> Coroutine[Stream]:
+    """A new connection as a client; raises as `dial` does."""
+    return Stream(loop, pool, (yield from dial(loop, address, until)), server=False)
 
 
 def parse_address(text: str) -> tuple[str, int]:
--- a/pulleyroute/net/http2.py
+++ b/pulleyroute/net/http2.py
@@ -848,31 +848,3 @@
     h2.events.RemoteSettingsChanged: Http2._on_settings,
     h2.events.ConnectionTerminated: Http2._on_goaway,
 }
-
-
-def dial(loop: Loop, address: tuple[str, int], until: int) -> Coroutine[socket.socket]:
-    """A connected socket; raises Broken. The wait ends at `until`, in the loop's microseconds."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
-    try:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        error = sock.connect_ex(address)
-        while error in _PENDING:
-            if (yield Wait(sock.fileno(), WRITABLE, until)) is Woken.LATE:
-                raise Broken("not up in time")
-            error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-            if error == 0:
-                try:
-                    sock.getpeername()
-                except OSError:
-                    error = _PENDING[0]  # woken too early
-        if error:
-            raise Broken(f"connect: error {error}")
-    except BaseException:
-        loop.forget(sock.fileno())
-        sock.close()
-        raise
-    loop.forget(sock.fileno())
-    return sock
-
-
-_PENDING = (115, 11)  # EINPROGRESS, EAGAIN
--- a/tests/grpc/test_calls.py
+++ b/tests/grpc/test_calls.py
@@ -2,6 +2,7 @@
 windows."""
 
 import gc
+import socket
 
 import pytest
 
@@ -519,3 +520,20 @@
         assert call.status() == 0
     for connection in (*scene.front.connections, *scene.back._sites[b"s-0"].connections):
         assert len(connection._h2.streams) <= 8
+
+
+def test_a_want_of_descriptors_blames_no_instance_and_the_call_goes_out_once_there_are_some(monkeypatch):
+    # Failure: the coroutine that connects ended by the OSError, and who waited there waited to the deadline.
+    scene = Scene()
+    client, real = scene.client(), socket.socket
+    with monkeypatch.context() as patch:
+        def poor(*args, fileno=None, **kwargs):
+            if fileno is None:  # a new one; what was accepted has its descriptor
+                raise OSError(24, "Too many open files")
+            return real(*args, fileno=fileno, **kwargs)
+        patch.setattr("pulleyroute.net.http.socket.socket", poor)
+        call = client.call(CHARGE, b"x")
+        scene.loop.until(lambda: scene.host.held and not scene.back.open)
+    assert not scene.host.avoided and not scene.loop.errors
+    scene.again().whole().answer(b"y")
+    assert call.status() == 0 and scene.done()
