Share what the operators' parts had written twice, and derive what can be derived

Read again as a whole; behaviour stays. What a request says of its connection's end is the parser's state (MUST_CLOSE), so the flag that every request paid for is gone; checked by hand with HTTP/1.0 and Connection: close through a hand-over. Host._hold takes a job for submit and take_over; Parts.adopt swaps settings for reload and the tests; Link.meet checks version and clock for both sides; Listener.listen, listen_on, pause and close stand on each other; settings._number is the one check of a number; Service needs no flag beside its Duty; Host.find was called by nobody.

--- a/pulleyroute/__main__.py
+++ b/pulleyroute/__main__.py
@@ -16,6 +16,7 @@
 from loguru import logger
 
 from pulleyroute import __version__
+from pulleyroute.interface import Settings
 from pulleyroute.net import log
 from pulleyroute.net.buffers import BufferPool, Ledger
 from pulleyroute.net.config import Config, ConfigError, load_config
@@ -84,7 +85,14 @@
         """Back to work."""
         self.clients.active()
 
-    # Limits
+    # What is in force
+
+    def adopt(self, settings: Settings) -> Settings:
+        """Other settings, in all the parts at once: as they are in force."""
+        settings = self.names.adopt(settings)
+        for part in (self.instances, self.host, self.clients):
+            part.adopt(settings)
+        return settings
 
     def held(self) -> tuple[int, int]:
         """Descriptors and bytes that this process holds."""
@@ -178,11 +186,9 @@
             logger.warning("a change of {} needs a restart", name)
     parts.figures.conf_loaded += 1
     parts.names.move(config.discovery)
-    settings = parts.names.adopt(config.settings)
-    for part in (parts.instances, parts.host, parts.clients):
-        part.adopt(settings)
+    old.settings = parts.adopt(config.settings)
     old.discovery, old.sockets, old.memory_mb = config.discovery, config.sockets, config.memory_mb
-    old.settings, old.shape = settings, config.shape
+    old.shape = config.shape
     parts.allow()
 
 
--- a/pulleyroute/lab/demo.py
+++ b/pulleyroute/lab/demo.py
@@ -23,7 +23,7 @@
 from hdrh.histogram import HdrHistogram
 
 from pulleyroute.emulator import Book, CallBox, Discovery, JobBox
-from pulleyroute.lab.referee import Kind
+from pulleyroute.lab.referee import ENDINGS, Kind
 from pulleyroute.lab.verdict import verdict
 
 WAIT = 5  # seconds that a client waits
@@ -231,7 +231,7 @@
             connection.request("POST", f"/{kind}", b"{}", {"X-Txn": request,
                                                            "X-Remaining-Ms": str(WAIT * 1000)})
             status = connection.getresponse().status
-            ending = {200: "served", 503: "refused", 429: "refused"}.get(status, "failed")
+            ending = ENDINGS.get(status, "failed")
         except (OSError, http.client.HTTPException):
             ending = "lost"
         finally:
--- a/pulleyroute/lab/load.py
+++ b/pulleyroute/lab/load.py
@@ -23,6 +23,7 @@
 from hdrh.histogram import HdrHistogram
 
 from pulleyroute.lab.arrivals import Mix, Shape, arrivals
+from pulleyroute.lab.referee import ENDINGS
 from pulleyroute.net.http import parse_address
 
 OUT = 5000  # requests out at once in an open loop; one that is due beyond is counted as not sent
@@ -103,7 +104,7 @@
                 writer = None  # type: ignore[assignment]
             if status == 0:
                 return await self._send(kind, number, timeout, fresh=True)
-            return {200: SERVED, 429: REFUSED, 503: REFUSED}.get(status, FAILED)
+            return ENDINGS.get(status, FAILED)
         finally:
             if writer is not None:
                 writer.close()
--- a/pulleyroute/lab/referee.py
+++ b/pulleyroute/lab/referee.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+ENDINGS = {200: "served", 429: "refused", 503: "refused"}  # by the HTTP status; all others are "failed"
 SLACK = 50_000  # on sockets each time limit is longer by this
 
 
--- a/pulleyroute/net/config.py
+++ b/pulleyroute/net/config.py
@@ -56,7 +56,6 @@
     sources = [environ.get("PROXY_DISCOVERY"), data.get("discovery")]
     if old is not None:
         sources.reverse()
-    known = data.get("known")
     keys = shape({key: value for key, value in data.items() if key != "known"})
     try:
         if old is not None and (missing := lacking(old.shape, data)) is not None:
@@ -70,7 +69,7 @@
             seed=_seed(data.get("seed", 0)),
             sockets=_limit(data.get("limits"), "sockets", SOCKETS, FEWEST_SOCKETS),
             memory_mb=_limit(data.get("limits"), "memory_mb", MEMORY_MB, LEAST_MEMORY_MB),
-            known=known,
+            known=data.get("known"),
             settings=settings,
             management=_address(environ.get("PROXY_MANAGEMENT") or data.get("management"), "management"),
             shape=keys,
--- a/pulleyroute/net/handover.py
+++ b/pulleyroute/net/handover.py
@@ -87,6 +87,12 @@
         """Begin to read."""
         self._task = self._loop.spawn(self._reading(), "hand-over")
 
+    def meet(self, values: Values) -> None:
+        """Take the other's version, which has to be this one's, and its clock."""
+        if values["version"] != VERSION:
+            raise Unreadable(f"it speaks version {values['version']}, this process {VERSION}")
+        self.shift = self._loop.now() - values["now"]
+
     def send(self, kind: str, values: Values, body: bytes = b"", fd: int | None = None) -> bool:
         """Whether it is with the kernel, and so the other's; nothing of it is where not."""
         if self.closed:
@@ -226,9 +232,7 @@
     def _told(self, link: Link, state: list[Values]) -> Heard:
         def heard(kind: str, values: Values, body: bytes, sock: socket.socket | None) -> None:
             if kind == "state":
-                if values["version"] != VERSION:
-                    raise Unreadable(f"it speaks version {values['version']}, this process {VERSION}")
-                link.shift = self._loop.now() - values["now"]
+                link.meet(values)
                 state.append(values)
                 self._whole = values["last"]
             elif kind == "connection" and sock is not None:
@@ -317,9 +321,7 @@
     def _asks(self, link: Link) -> Heard:
         def heard(kind: str, values: Values, body: bytes, sock: socket.socket | None) -> None:
             if kind == "hello":
-                link.shift = self._loop.now() - values["now"]
-                if values["version"] != VERSION:
-                    raise Unreadable(f"it speaks version {values['version']}, this process {VERSION}")
+                link.meet(values)
                 self._loop.spawn(self._telling(link), "hand-over state")
             elif kind == "serving":
                 self._hand(link)
@@ -395,8 +397,7 @@
             if values["number"] in self._asked:
                 self._asked[values["number"]] = bool(values["heard"])
         elif kind == "call":
-            heard = self._host.knows(values["txn"])
-            if heard:
+            if self._host.knows(values["txn"]):
                 self._host.call(read_call(body, self._clients.settings))
                 link.send("called", {"number": values["number"], "heard": True})
                 return
--- a/pulleyroute/net/host.py
+++ b/pulleyroute/net/host.py
@@ -256,17 +256,23 @@
         left = remaining - min(MARGIN, remaining // MARGIN_SHARE)
         deadline = self._loop.now() + left
         job = Job(self._count, request, reply, deadline, cls, self._settings.max_attempts, self._loop.now())
-        self._jobs[job.number] = job
-        self._by_txn[request.txn] = job
-        self.open += 1
-        guard = deadline + GUARD if request.answer_by is None else min(deadline + GUARD, request.answer_by)
-        job.guard = self._loop.call_at(guard, lambda: self._overdue(job))
+        self._hold(job)
         self.post(api.JobArrived(
             job.number, request.job_class, left, request.slots, request.memory, key=request.key,
             is_repeat=request.is_repeat,
         ))
         return job
 
+    def _hold(self, job: Job) -> None:
+        """A job is taken: it is found by its number and its id, and is answered in time."""
+        self._jobs[job.number] = job
+        self._by_txn[job.request.txn] = job
+        self.open += 1
+        guard = job.deadline + GUARD
+        if job.request.answer_by is not None:
+            guard = min(guard, job.request.answer_by)
+        job.guard = self._loop.call_at(guard, lambda: self._overdue(job))
+
     def abandon(self, job: Job, stop: bool = False) -> None:
         """The client is gone; with `stop`, so that its executions are to end too."""
         if not job.answered:
@@ -279,10 +285,6 @@
 
     # Another process of this dispatcher
 
-    def find(self, txn: str) -> Job | None:
-        """The job of this id that is being worked on."""
-        return self._by_txn.get(txn)
-
     def ids(self) -> list[str]:
         """Of the jobs that are being worked on."""
         return list(self._by_txn)
@@ -348,10 +350,7 @@
                 setattr(execution, name, told[name])
             execution.outcome = None if told["outcome"] is None else Outcome(told["outcome"])
             job.executions.append(execution)
-        self._jobs[job.number] = job
-        self._by_txn[request.txn] = job
-        self.open += 1
-        job.guard = self._loop.call_at(job.deadline + GUARD, lambda: self._overdue(job))
+        self._hold(job)
         for execution in [e for e in job.executions if not e.over]:
             self._arm(execution)
         if values["rules"] is not None:
--- a/pulleyroute/net/http.py
+++ b/pulleyroute/net/http.py
@@ -82,7 +82,6 @@
         self._ledger = ledger
         self._claimed = 0  # bytes read here that count in the ledger
         self._raw = b""  # what the head of the next request was read from
-        self._last = False  # the request asked for the connection's end after its answer
 
     def fileno(self) -> int:
         return self._sock.fileno()
@@ -215,8 +214,6 @@
             # makes one of equal lengths and unfolds lines, but the sender may mean another end of the body.
             raise Malformed(400, "the end of the body is named twice, or a line is folded")
         self._head_only = event.method == b"HEAD"
-        self._last = event.http_version < b"1.1" or any(
-            name == b"connection" and b"close" in value.lower() for name, value in event.headers)
         message = Message(list(event.headers), b"", event.method, event.target)
         size = len(event.target) + sum(len(name) + len(value) + 4 for name, value in event.headers)
         if size > HEAD_LIMIT:  # the parser limits only what is incomplete: how it is cut must not matter
@@ -229,7 +226,9 @@
 
     def pending(self) -> dict[str, Any]:
         """Of a connection whose request waits for its answer, what another process needs to give it."""
-        return {"last": self._last, "rest": self._h11.trailing_data[0].decode("latin-1")}
+        # The parser knows whether the request was the connection's last: it must close then.
+        last = self._h11.their_state is h11.MUST_CLOSE
+        return {"last": last, "rest": self._h11.trailing_data[0].decode("latin-1")}
 
     def resume(self, values: dict[str, Any], held: int) -> None:
         """Stand where `pending` was told: a request, with `held` bytes of body, waits for its answer."""
@@ -239,7 +238,6 @@
         while not isinstance(self._h11.next_event(), h11.EndOfMessage):
             pass
         self.fresh = False
-        self._last = values["last"]
         self._claim(held + self.trailing())
 
     def answer(
--- a/pulleyroute/net/listener.py
+++ b/pulleyroute/net/listener.py
@@ -33,21 +33,19 @@
         """Begin; raises OSError where the address can't be had."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
         try:
-            sock.setblocking(False)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             sock.bind(address)
             sock.listen(BACKLOG)
         except OSError:
             sock.close()
             raise
-        self.sock = sock
-        self.task = self._loop.spawn(self.accepting(sock), self._name)
+        self.listen_on(sock)
 
     def listen_on(self, sock: socket.socket) -> None:
         """Begin on a socket that listens already; whoever else holds it may accept from it too."""
         sock.setblocking(False)
         self.sock = sock
-        self.task = self._loop.spawn(self.accepting(sock), self._name)
+        self.resume()
 
     def pause(self) -> None:
         """Accept no more for now; the socket stays, and what connects waits in its queue."""
@@ -69,10 +67,8 @@
 
     def close(self) -> None:
         """No more connections; those that are accepted stay."""
-        if self.task is not None:
-            self.task.cancel()
-        if self.sock is not None and self.sock.fileno() >= 0:
-            self._loop.forget(self.sock.fileno())
+        self.pause()
+        if self.sock is not None:
             self.sock.close()
 
     def accepting(self, listener: socket.socket) -> Coroutine[None]:
--- a/pulleyroute/service/assembly.py
+++ b/pulleyroute/service/assembly.py
@@ -71,7 +71,6 @@
         self._leaving: list[Front] = []
         self._routes: Routes[Target] = Routes([])
         self.health = Health(lambda service: self._routes.serves(service.encode()))
-        self._stopping = False
         self._left: set[str] = set()
         limits = config.limits
         sockets, memory = (limits.sockets, limits.memory) if limits is not None else (1024, 256 * 1024**2)
@@ -271,10 +270,8 @@
 
     def stop(self) -> None:
         """Nothing new; what is out finishes, bounded by each listener's drain; then the loop stops."""
-        if self._stopping:
+        if not self._duty.end(self._loop.now(), 0):
             return
-        self._stopping = True
-        self._duty.end(self._loop.now(), 0)
         self.health.change(False)
         for front in self.fronts.values():
             front.stop()
--- a/pulleyroute/settings.py
+++ b/pulleyroute/settings.py
@@ -60,6 +60,12 @@
     return None
 
 
+def _number(value: Any, name: str, least: float) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value < LARGEST:
+        raise SettingsError(f"settings: {name} is {value!r}, not a number of at least {least}")
+    return float(value)
+
+
 class _Section:
     """Reads one JSON object of the settings, naming what is missing or senseless."""
 
@@ -82,10 +88,7 @@
         return _Section(self.raw(key, {}), self._name(key))
 
     def number(self, key: str, default: Any = _MISSING, least: float = 0) -> float:
-        value = self.raw(key, default)
-        if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value < LARGEST:
-            raise SettingsError(f"settings: {self._name(key)} is {value!r}, not a number of at least {least}")
-        return float(value)
+        return _number(self.raw(key, default), self._name(key), least)
 
     def whole(self, key: str, default: Any = _MISSING, least: int = 0) -> int:
         return int(self.number(key, default, least))
@@ -197,10 +200,7 @@
 def _job_class(item: _Section, family: _Section, i: int) -> JobClass:
     def each(key: str, default: float) -> float:
         values = family.items(key, [])
-        value = values[i] if i < len(values) else default
-        if isinstance(value, bool) or not isinstance(value, int | float) or not -1 <= value < LARGEST:
-            raise SettingsError(f"settings: family-info.{key}[{i}] is {value!r}, not a number")
-        return value
+        return _number(values[i] if i < len(values) else default, f"family-info.{key}[{i}]", -1)
 
     return JobClass(
         name=item.text("name", str(i)),
