--- /dev/null
+++ b/benchmarks/fleet_log.py
@@ -0,0 +1,175 @@
+"""Counts what a fleet of dispatchers did, from their logs at PULLEYROUTE_LOG=DEBUG.
+
+    python -m benchmarks.fleet_log DIRECTORY [--seconds]
+
+The directory holds one log a dispatcher, `NAME.log`, whose lines begin with the time in seconds. Prints, for
+the whole fleet: calls by kind with the peak second, which pushes cross halls, what pushes find by the age of
+the reading they rest on, the spread over instances and dispatchers, and cold instances' fullest windows;
+with `--seconds`, one line a second.
+"""
+
+from __future__ import annotations
+
+import argparse
+import re
+import sys
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+EVENTS = ("push", "started", "ended", "probe", "connect", "list", "answer")
+_LINE = re.compile(r"([0-9.]+) \S+ DEBUG (\w+) (\w+=.*)")
+_VALUE = re.compile(r"(\w+)=(\S+)")
+PROMPT = 20_000  # us: a push that starts within this found a free slot (home; a crossing takes longer)
+AGES = ((0, "none"), (500_000, "< 0.5 s"), (1_000_000, "< 1 s"), (2_000_000, "< 2 s"), (2**62, "older"))
+COLD = 8_100_000  # us since its start, for which an instance is counted as cold at most
+WINDOW = 3.0  # seconds
+
+
+@dataclass(slots=True)
+class Event:
+    at: float  # seconds
+    dispatcher: str
+    name: str
+    values: dict[str, str]
+
+
+@dataclass(slots=True)
+class Fleet:
+    """The events of all dispatchers, in order."""
+
+    events: list[Event] = field(default_factory=list)
+
+    def of(self, name: str) -> list[Event]:
+        return [event for event in self.events if event.name == name]
+
+
+def read(dispatcher: str, lines: Iterable[str]) -> Iterator[Event]:
+    """The events in one dispatcher's log; other lines are passed over."""
+    for line in lines:
+        found = _LINE.match(line)
+        if found and found[2] in EVENTS:
+            yield Event(float(found[1]), dispatcher, found[2], dict(_VALUE.findall(found[3])))
+
+
+def load(directory: Path) -> Fleet:
+    """Raises SystemExit with one line where there is no log with events."""
+    events: list[Event] = []
+    for path in sorted(directory.glob("*.log")):
+        with path.open(errors="replace") as lines:
+            events += read(path.stem, lines)
+    if not events:
+        raise SystemExit(f"fleet_log: {directory}: no log with events; run with PULLEYROUTE_LOG=DEBUG")
+    return Fleet(sorted(events, key=lambda event: event.at))
+
+
+def calls(fleet: Fleet) -> dict[str, tuple[int, int, int]]:
+    """By kind: how many in all, in the fullest second, and by the dispatcher with the most."""
+    kinds: dict[str, list[Event]] = defaultdict(list)
+    for event in fleet.events:
+        if event.name == "push":
+            kinds["first pushes" if event.values["index"] == "0" else "resubmissions"].append(event)
+            if 0 <= int(event.values["up"]) < COLD:
+                kinds["pushes to cold"].append(event)
+        elif event.name == "probe":
+            kinds["probes" if event.values["outcome"] == "ok" else "failed probes"].append(event)
+        elif event.name in ("connect", "list"):
+            kinds["new connections" if event.name == "connect" else "list calls"].append(event)
+    return {kind: (len(events), max(Counter(int(e.at) for e in events).values()),
+                   max(Counter(e.dispatcher for e in events).values())) for kind, events in kinds.items()}
+
+
+def crossings(fleet: Fleet) -> dict[tuple[str, str], tuple[int, int]]:
+    """By class, and whether it is the first push: how many there are, and how many cross halls."""
+    counts: dict[tuple[str, str], tuple[int, int]] = {}
+    for event in fleet.of("push"):
+        values = event.values
+        key = values["cls"], "first" if values["index"] == "0" else "again"
+        pushes, crossing = counts.get(key, (0, 0))
+        counts[key] = pushes + 1, crossing + (values["zone"] != values["to"])
+    return counts
+
+
+def found(fleet: Fleet) -> dict[tuple[str, str], tuple[int, int]]:
+    """By age of the reading and whether it showed room: home pushes, and those that started at once."""
+    started = {(e.values["txn"], e.values["index"]): int(e.values["took"]) for e in fleet.of("started")}
+    counts: dict[tuple[str, str], tuple[int, int]] = {}
+    for event in fleet.of("push"):
+        values = event.values
+        if values["zone"] != values["to"]:
+            continue
+        age = next(name for limit, name in AGES if int(values["age"]) < limit)
+        room = "no reading" if values["free"] == "-" else "room" if float(values["free"]) > 0.5 else "full"
+        pushes, prompt = counts.get((room, age), (0, 0))
+        took = started.get((values["txn"], values["index"]), PROMPT)
+        counts[room, age] = pushes + 1, prompt + (took < PROMPT)
+    return counts
+
+
+def spread(fleet: Fleet) -> dict[str, tuple[int, float, int]]:
+    """By instance: pushes, these against the mean of its hall, and how many dispatchers they are from."""
+    pushes: dict[str, list[Event]] = defaultdict(list)
+    halls: dict[str, set[str]] = defaultdict(set)
+    for event in fleet.of("push"):
+        pushes[event.values["instance"]].append(event)
+        halls[event.values["to"]].add(event.values["instance"])
+    table = {}
+    for names in halls.values():
+        mean = sum(len(pushes[name]) for name in names) / len(names)
+        for name in names:
+            table[name] = (len(pushes[name]), len(pushes[name]) / mean,
+                           len({event.dispatcher for event in pushes[name]}))
+    return table
+
+
+def cold_windows(fleet: Fleet) -> dict[str, int]:
+    """By cold instance: the most pushes in any window of 3 s."""
+    times: dict[str, list[float]] = defaultdict(list)
+    for event in fleet.of("push"):
+        if 0 <= int(event.values["up"]) < COLD:
+            times[event.values["instance"]].append(event.at)
+    return {name: max(sum(1 for other in at if first <= other < first + WINDOW) for first in at)
+            for name, at in times.items()}
+
+
+def seconds(fleet: Fleet) -> list[str]:
+    """One line a second: the events of each kind."""
+    counts = Counter((int(event.at), event.name) for event in fleet.events)
+    last = int(fleet.events[-1].at)
+    lines = ["second " + " ".join(f"{name:>8}" for name in EVENTS)]
+    lines += [f"{at:6d} " + " ".join(f"{counts[at, name]:8d}" for name in EVENTS) for at in range(last + 1)]
+    return lines
+
+
+def report(fleet: Fleet) -> list[str]:
+    """The tables as lines of Markdown."""
+    lines = ["| calls | in all | peak second | most of one dispatcher |", "| --- | --- | --- | --- |"]
+    lines += [f"| {kind} | {count} | {peak} | {most} |"
+              for kind, (count, peak, most) in sorted(calls(fleet).items())]
+    lines += ["", "| pushes | in all | crossing |", "| --- | --- | --- |"]
+    lines += [f"| {cls} {which} | {count} | {crossing} |"
+              for (cls, which), (count, crossing) in sorted(crossings(fleet).items())]
+    lines += ["", "| home pushes by reading | in all | started at once |", "| --- | --- | --- |"]
+    lines += [f"| {room}, {age} | {count} | {prompt / count:.2f} |"
+              for (room, age), (count, prompt) in sorted(found(fleet).items())]
+    table, cold = spread(fleet).values(), sorted(cold_windows(fleet).values())
+    lines += ["", f"fullest instance against the mean of its hall {max(ratio for _, ratio, _ in table):.2f}, "
+              f"most dispatchers at one {max(users for _, _, users in table)}"]
+    if cold:
+        lines.append(f"cold instances {len(cold)}, pushes in their fullest {WINDOW:.0f} s: "
+                     f"median {cold[len(cold) // 2]}, most {cold[-1]}")
+    return lines
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(prog="fleet_log")
+    parser.add_argument("directory", type=Path)
+    parser.add_argument("--seconds", action="store_true", help="one line a second as well")
+    args = parser.parse_args()
+    fleet = load(args.directory)
+    sys.stdout.write("\n".join(report(fleet) + (["", *seconds(fleet)] if args.seconds else [])) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/pulleyroute/interface.py
+++ b/pulleyroute/interface.py
@@ -123,7 +123,6 @@
     ramp_time: int = 0  # and is warm after this at the latest
     price_cross_zone: float = 0.0
     price_probe: float = 0.0
-    price_handshake: float = 0.0
     price_peer: float = 0.0
 
 
--- a/pulleyroute/rules.py
+++ b/pulleyroute/rules.py
@@ -19,8 +19,7 @@
 # Full Jitter: the first sleep is at most this share of the class's aim, and no sleep is longer than the aim,
 # since a job that slept its whole aim away is late wherever it goes.
 BASE_OF_AIM = 1 / 8
-# How many free slots at home outweigh one abroad, for each point in 100 that a crossing costs; likewise for
-# workers with an idle connection and what a new one costs.
+# How many free slots at home outweigh one abroad, for each point in 100 that a crossing costs.
 PULL = 12.0
 # One error in a row makes a worker a tenth as likely; a healthy one hardly ever errs twice running.
 ERROR_FACTOR = 0.1
@@ -30,6 +29,9 @@
 MISSED_NOTES = 2.5
 # Of a cold worker's budget this share is planned for; the rest is for jobs heavier than the mean.
 COLD_SHARE_USED = 0.5
+# Of many dispatchers that split it each has its part by its own load against the mean, within these bounds,
+# less what they may all be wrong by together.
+LEAST_PART, MOST_PART, PARTS_USED = 0.25, 3.0, 0.8
 # Half of all jobs run for less than about this share of the mean: running times have long tails.
 TYPICAL = 0.5
 # A queue seen at some length is held to shrink at half the pace of time, as if half its work kept coming.
@@ -111,7 +113,7 @@
 
     __slots__ = (
         "asked", "audience", "blame", "blamed_at", "budget", "budget_at", "cell", "deep", "deltas",
-        "down_until", "free", "heard", "held", "holds", "id", "idle", "kind", "longest", "memory",
+        "down_until", "free", "heard", "held", "holds", "id", "kind", "longest", "memory",
         "most", "mute", "net", "others", "out", "own", "prompt", "rank", "ready", "report_at", "shut",
         "signature", "started", "unstarted", "wait", "wait_at", "zone",
     )
@@ -121,7 +123,6 @@
         self.out: dict[tuple[int, int], Attempt] = {}
         self.unstarted: dict[tuple[int, int], Attempt] = {}
         self.deltas: deque[tuple[int, float]] = deque()
-        self.idle: deque[int] = deque()  # when its idle connections fell idle
         self.own = 0.0  # slots that own attempts hold there
         self.held = 0.0  # the same with what peers have told
         self.net = 0.0  # slots so taken since the last report, less those given back
@@ -172,6 +173,7 @@
         self.ready: list[Worker] = []
         self.tight = 0.0  # the share of jobs lately that found no room at home
         self.held = self.load = 0.0  # slots that own started attempts hold, now and on average
+        self.busy = 1.0  # slots in use at a worker, on the average of readings
         self.width = NEAR  # how many workers it keeps to
         self.moved = False  # whether one was found down or back since those near were chosen
         self.near: list[Worker] = []  # those of them that it keeps to
@@ -207,7 +209,6 @@
         self.patience = min(c.give_up for c in settings.classes)
         self.asks = settings.probes and settings.report_source is not api.ReportSource.NONE
         self.abroad = 1 / (1 + PULL * 100 * settings.price_cross_zone)
-        self.unconnected = 1 / (1 + PULL * 100 * settings.price_handshake)
         self.tick = max(1, (settings.progress or self.patience // 5) // 2)
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
@@ -254,8 +255,6 @@
         worker.unstarted[key] = attempt
         self.take(worker, job.slots)
         worker.budget -= job.slots
-        if worker.idle:
-            worker.idle.pop()
         self.todo.append(api.Push(job.id, worker.id, job.deadline))
         self.expect_start(attempt)
 
@@ -398,8 +397,6 @@
             job.waits[worker.id] = wait
         if worker.zone != self.settings.zone:
             weight *= self.abroad ** self.homing(job.cls)
-        if self.unconnected < 1 and not (worker.idle and now - worker.idle[-1] < self.settings.keepalive):
-            weight *= self.unconnected
         if worker.blame:
             blame = worker.blame * 0.5 ** ((now - worker.blamed_at) / self.patience)
             weight *= ERROR_FACTOR ** blame
@@ -428,6 +425,10 @@
             # Guards against chance: many that act alone make a random stream; four deviations fit.
             planned = min(planned, ((max(0.0, whole - 1) + 4) ** 0.5 - 2) ** 2)
         per_us = planned / sharers / s.tip_window
+        if self.near is not self.ready:
+            # Guards busy dispatchers against want beside tokens that lie with idle ones.
+            mean = max(FLOOR, self.busy * len(self.ready) / s.dispatchers)
+            per_us *= PARTS_USED * min(MOST_PART, max(LEAST_PART, self.load / mean))
         if worker.budget < 0 and not worker.budget_at:
             worker.budget = self.rng.random()
         else:
@@ -589,9 +590,6 @@
         """What an outcome says of its worker."""
         if outcome is Outcome.OK:
             self.alive(worker)
-            worker.idle.append(self.now)
-            if len(worker.idle) > 1 and self.now - worker.idle[0] > self.settings.keepalive:
-                worker.idle.popleft()
             worker.blame *= 1 - FORGIVE
             if attempt.started:
                 took = self.now - attempt.started
@@ -654,6 +652,7 @@
         worker.memory = memory if memory is not None and 0 <= memory < 1e9 else None
         own = sum(1 for attempt in worker.out.values() if attempt.started)
         worker.most = max(worker.most, free, own)
+        self.busy += BLEND / 4 * (worker.most - max(0.0, free) - self.busy)
         # A reading is old when it comes: what was pushed within its age may not be in it.
         taken = self.now - min(self.gap, self.running) / 2
         while worker.deltas and worker.deltas[0][0] <= taken:
--- a/pulleyroute/settings.py
+++ b/pulleyroute/settings.py
@@ -181,7 +181,6 @@
         ramp_time=duties.whole("ramp-time"),
         price_cross_zone=prices.number("cross-zone", 0.0),
         price_probe=prices.number("probe", 0.0),
-        price_handshake=prices.number("handshake", 0.0),
         price_peer=prices.number("peer", 0.0),
     )
     names = dict(_REPORT_FIELDS)
