Keep to two workers for each running job, as others fill them too

Seen: where most dispatchers of a release or of a lost hall are killed, the others take over their traffic; with eight workers for up to eight running jobs, half of the set's slots are full of own jobs before five other dispatchers come. The test fails without it: a load of 6 gave a width of 8.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -538,6 +538,16 @@
     assert 8 < len(bench.dispatcher.near) <= 24
 
 
+def test_the_workers_kept_to_are_twice_what_own_jobs_fill():
+    # Failure: dispatchers with half a dozen jobs running kept to eight workers that others filled as well, as
+    # where most of a fleet's dispatchers had died and the rest had their traffic.
+    for load, width in ((3.0, 8), (6.0, 12), (50.0, 24)):
+        bench = Bench(FLEET, zone=1)
+        bench.dispatcher.load = load
+        bench.run(SECOND)
+        assert len(bench.dispatcher.near) == width
+
+
 def test_a_refusal_advises_the_class_aim_as_far_as_clients_heed_it():
     for longest, advice in ((0, 0), (SECOND // 2, SECOND // 2), (5 * SECOND, SECOND)):
         bench = Bench([], max_retry_after=longest)
