--- a/pulleyroute/rules.py
+++ b/pulleyroute/rules.py
@@ -771,8 +771,8 @@
         if not self.subscribed and self.now >= self.ask_at:
             self.todo.append(api.Subscribe(True))
             self.ask_at = self.now + self.settings.ask_every // 2
-        # Guards a submitter far busier than others: others fill its workers too, so it keeps to two for each job
-        # that it has running.
+        # Guards a submitter far busier than others: others fill its workers too, so it keeps to two for each
+        # job that it has running.
         width = min(3 * NEAR, max(NEAR, int(2 * self.load)))
         if abs(width - self.width) > self.width / 4:
             self.width, self.moved = width, True
