Hand the fleet's mean load over at an upgrade, with the own load it is set against

Found on reading the change again: recall handed on Dispatcher.load and not Dispatcher.busy, so that a process that took over would reckon its part of cold boxes' budgets against the mean of a start. A version that kept none leaves the taker's own.

--- a/pulleyroute/recall.py
+++ b/pulleyroute/recall.py
@@ -16,7 +16,7 @@
 Values = dict[str, Any]
 
 _SAME_START = 10_000  # two processes tell a worker's start from Unix time: they may differ by so much
-_GENERAL = ("gap", "load", "probe_credit", "running", "runs", "tight", "waits_modelled", "waits_seen")
+_GENERAL = ("busy", "gap", "load", "probe_credit", "running", "runs", "tight", "waits_modelled", "waits_seen")
 _FACTS = ("blame", "budget", "deep", "free", "holds", "longest", "memory", "most", "mute", "others", "prompt",
           "shut", "wait")
 _TIMES = ("asked", "blamed_at", "budget_at", "down_until", "heard", "report_at", "started", "wait_at")
@@ -32,7 +32,8 @@
 
 def learn(rules: Dispatcher, values: Values) -> None:
     """Take over what another has learnt in general."""
-    _write(rules, values, _GENERAL)
+    # Guards an upgrade from a version that kept no such mean: what else it has learnt is taken over still.
+    _write(rules, {"busy": rules.busy, **values}, _GENERAL)
     rules.full_time.update({(name, give_up): span for name, give_up, span in values["full_time"]})
 
 
