Keep a pushed list's watch open from the start, in the name table

The name table owns it now: opened at the start, anew at once when a watch that stood ends, by Full Jitter (net/backoff.py, 1/16 to 1/2 of the drain grace) when it does not come up, from the list's own version after a hand-over. Silence and its end are told to the decisions, once each. A list older than the one held is passed over until it is plain that versions began anew. HCL: pool.lists = "pushed".

--- a/pulleyroute/__main__.py
+++ b/pulleyroute/__main__.py
@@ -122,7 +122,7 @@
     """
     pool, ledger = BufferPool(), Ledger(readable(config))
     epoch = time.time_ns() // 1000 - loop.now()
-    names = NameTable(loop, pool, config.discovery, config.settings, epoch)
+    names = NameTable(loop, pool, config.discovery, config.settings, epoch, config.seed + 1)
     figures = Figures()
     budget = budget_of(config)
     instances = Instances(loop, pool, names, config.settings, int(budget * INSTANCE_SHARE), figures)
@@ -144,6 +144,7 @@
         meeting = place(os.environ.get("TMPDIR") or "/tmp", listener)
         handover = Handover(loop, meeting, clients, host, names, parts)
         loop.spawn(handover.take_over(listener), "hand-over start")
+    names.keep(config.settings)
     return parts
 
 
--- a/pulleyroute/config/build.py
+++ b/pulleyroute/config/build.py
@@ -31,9 +31,10 @@
         report_source=api.ReportSource.ANSWERS if grpc else _SOURCES[pool.reports],
         probes=grpc or pool.probes, cancels=pool.cancels, tells_start=pool.tells_start and not grpc,
         progress=0 if grpc else pool.progress, keepalive=pool.keepalive,
-        list_on_request=pool.discovery is not None, max_retry_after=pool.max_retry_after,
-        connect_timeout=pool.connect_timeout, drain_grace=pool.drain_grace, cold_share=pool.cold_share,
-        ramp_time=pool.ramp, tip_multiple=pool.tip_multiple, tip_window=pool.tip_window,
+        list_on_request=pool.discovery is not None and pool.lists == "asked",
+        max_retry_after=pool.max_retry_after, connect_timeout=pool.connect_timeout,
+        drain_grace=pool.drain_grace, cold_share=pool.cold_share, ramp_time=pool.ramp,
+        tip_multiple=pool.tip_multiple, tip_window=pool.tip_window,
         price_cross_zone=pool.price_crossing,
     )
 
--- a/pulleyroute/config/types.py
+++ b/pulleyroute/config/types.py
@@ -145,6 +145,7 @@
     name: str = ""
     protocol: Literal["jobs", "grpc"]
     discovery: Annotated[tuple[str, int] | None, At()] = None
+    lists: Literal["asked", "pushed"] = "asked"  # pushed: discovery is an agent beside this process
     instance: dict[str, Instance] = {}
     attempts: Annotated[int, Meta(ge=1, le=10)] = 4
     slots: Annotated[float, Meta(ge=1, le=100_000)] = 100.0  # calls that an instance takes at once
--- a/pulleyroute/net/name_table.py
+++ b/pulleyroute/net/name_table.py
@@ -1,12 +1,18 @@
-"""The name table: discovery's list of instances, as this dispatcher was told it."""
+"""The name table: discovery's list of instances, as this dispatcher was told it.
+
+Where the list must be asked for, the decisions say when (`Subscribe`). Where it is pushed, the address is
+that of an agent beside this process, which answers at no cost: then the table itself keeps a watch open, from
+the start on, and opens it anew whenever it ends. The decisions hear `FAILED` once when the agent falls
+silent, and the next news, be it empty, when it speaks again.
+"""
 
 from __future__ import annotations
 
 import json
 import math
-import random
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from random import Random
 from typing import Any
 
 import h11
@@ -14,6 +20,7 @@
 
 from pulleyroute.interface import Entry, ListKind, Settings, WorkerId, WorkerList, WorkerState
 from pulleyroute.net import log
+from pulleyroute.net.backoff import Backoff
 from pulleyroute.net.buffers import BufferPool
 from pulleyroute.net.http import Broken, Crowded, Late, Malformed, Stream, connect, parse_address
 from pulleyroute.net.loop import Coroutine, Loop, Task, Wait
@@ -24,6 +31,9 @@
 SILENCE = 4_000_000  # a watch says something every 2 s; this long without a line and it is broken
 MOVE_TIME = 4_000_000  # after a move, calls that fail are tried again for so long before the module is told
 MOVE_PAUSE = 500_000  # the longest pause between two of them
+BACK_TIME = 6_000_000  # lists older than the one held are passed over for so long, then held to be the truth
+FIRST_PAUSE = 16  # a pushed list's watch is tried again within this part of the drain grace at first,
+LONGEST_PAUSE = 2  # and within this part of it later: what was told in between is not to be missed
 LINE_LIMIT = 1024 * 1024
 
 _FAILURES = (Broken, Crowded, Late, Malformed, ValueError, RecursionError)
@@ -44,11 +54,17 @@
     """Owns the list, its version and the calls to discovery; tells each change as a `WorkerList`."""
 
     def __init__(
-        self, loop: Loop, pool: BufferPool, discovery: tuple[str, int], settings: Settings, epoch: int
+        self, loop: Loop, pool: BufferPool, discovery: tuple[str, int], settings: Settings, epoch: int,
+        seed: int = 0,
     ) -> None:
         self._loop = loop
         self._pool = pool
         self._discovery = discovery
+        self._random = Random(seed)
+        self._kept = False  # whether the list is pushed, and its watch kept open here
+        self._pause = self._backoff(settings)
+        self._deaf = False  # the watch has failed, and nothing has been heard since
+        self._back_since: int | None = None  # since when discovery has told of older versions only
         self._zones = {name: i for i, name in enumerate(settings.zones)}
         self._kinds = {name: i for i, name in enumerate(settings.kinds)}
         self._epoch = epoch  # Unix time, in microseconds, when the loop's clock was at 0
@@ -77,6 +93,11 @@
             zone = _number(self._zones, settings.zones[zone])
         classes = [replace(cls, kind=_number(self._kinds, kinds[cls.kind]))
                    if 0 <= cls.kind < len(kinds) else cls for cls in settings.classes]
+        self._pause = self._backoff(settings)
+        if self._kept is settings.list_on_request:
+            # The deployment has changed its way: keep the list open from now on, or leave that to the rules.
+            self._kept = False
+            self.keep(settings)
         return replace(settings, zone=zone, classes=classes)
 
     @property
@@ -94,13 +115,30 @@
         return sum(1 for member in self._members.values() if member.listed)
 
     def load_known(self, known: Any) -> None:
-        """Take the list that came with the configuration; raises ValueError if it is malformed."""
+        """Take a list that came otherwise than from discovery; raises ValueError if it is malformed."""
         self.tell(self._take(known, cached=True))
+        if self._kept:
+            self._open()  # from this list's version: it may be older than what the watch has told
 
     # Calls to discovery
 
+    def _backoff(self, settings: Settings) -> Backoff:
+        grace = max(1, settings.drain_grace)
+        return Backoff(max(1, grace // FIRST_PAUSE), max(1, grace // LONGEST_PAUSE), self._random)
+
+    def keep(self, settings: Settings) -> None:
+        """Keep a watch open from now on where the settings say that the list is pushed."""
+        if not settings.list_on_request and not self._kept:
+            self._kept = True
+            self._open()
+
     def watch(self, on: bool) -> None:
-        """Ask for changes from now on, or cease; an earlier watch gives way."""
+        """Ask for changes from now on, or cease; an earlier watch gives way. A kept one goes on as it is."""
+        if on and self._kept and self._watch is not None:
+            return
+        self._open(on)
+
+    def _open(self, on: bool = True) -> None:
         if self._watch is not None:
             self._watch.cancel()
             self._watch = None
@@ -116,7 +154,8 @@
         self._discovery = discovery
         self._moved = True
         self._patient_until = self._loop.now() + MOVE_TIME
-        self.watch(True)
+        self._pause.succeeded()
+        self._open()
 
     def fetch(self) -> None:
         """Ask for the whole list once."""
@@ -165,23 +204,40 @@
 
     def _watching(self) -> Coroutine[None]:
         while True:
+            opened = self._loop.now()
             try:
                 if self._moved:
                     # Guards against versions that mean nothing here: changes since one might leave out most.
                     news = yield from self._whole()
                     self._moved = False
-                    self.tell(news)
+                    self._back_since = None
+                    self._news(news)
                 yield from self._following()
             except _FAILURES as exc:
                 why = str(exc) or "no line in time"
                 if self._loop.now() < self._patient_until:
                     # Guards the time limit after a move, which the module's longer pauses would pass.
                     logger.info("name table: {}:{} failed: {}", *self._discovery, why)
-                    yield Wait(until=self._loop.now() + int(random.random() * MOVE_PAUSE))
+                    yield Wait(until=self._loop.now() + int(self._random.random() * MOVE_PAUSE))
                     continue
-                self._watch = None
-                self._failed("watch", why)
-                return
+                if not self._kept:
+                    self._watch = None
+                    self._failed("watch", why)
+                    return
+                yield from self._resting(opened, why)
+
+    def _resting(self, opened: int, why: str) -> Coroutine[None]:
+        """A kept watch has ended: the pause before it is opened anew."""
+        if not self._deaf:
+            # Guards the log: an agent that is down is told of once, and once more when it speaks again.
+            self._deaf = True
+            self._failed("watch", why)
+        if self._loop.now() - opened >= self._pause.cap:
+            # Guards the drain rule: a watch that stood is opened anew at once, as the agent may have more to
+            # tell. One that breaks as soon as it is open is not, as it would be so again.
+            self._pause.succeeded()
+            return
+        yield Wait(until=self._loop.now() + self._pause.failed())
 
     def _following(self) -> Coroutine[None]:
         """Tell of changes until the watch breaks."""
@@ -202,11 +258,42 @@
                 if len(rest) > LINE_LIMIT:
                     raise Broken("a line is too long")
                 for line in lines:
-                    if line.strip():
-                        self.tell(self._take(json.loads(line), cached=False))
+                    self._line(line)
         finally:
             stream.close()
 
+    def _line(self, line: bytes) -> None:
+        """One line of a watch; raises ValueError if it is malformed."""
+        data = json.loads(line) if line.strip() else None
+        if data is not None and not self._older(data):
+            self._news(self._take(data, cached=False))
+        elif self._deaf:
+            self._news(WorkerList(self._version, ListKind.DELTA, []))  # nothing has changed meanwhile
+
+    def _news(self, news: WorkerList) -> None:
+        self._deaf = False
+        self.tell(news)
+
+    def _older(self, data: Any) -> bool:
+        """Whether a list is older than the one held, and so passed over.
+
+        Guards the drain rule: a discovery or agent that comes back with what it once saved would put back to
+        work what has been told of as leaving. One that goes on so has lost its versions: then all of its list
+        is taken as it stands.
+        """
+        version = data.get("revision") if isinstance(data, dict) else None
+        if not isinstance(version, int) or version >= self._version:
+            self._back_since = None
+            return False
+        if self._back_since is None:
+            self._back_since = self._loop.now()
+            logger.bind(event="names.older", version=version).warning(
+                "name table: version {} after {} is passed over", version, self._version)
+        elif self._loop.now() - self._back_since >= BACK_TIME:
+            self._moved = True
+            raise Broken("versions have begun anew")
+        return True
+
     # The list
 
     def _take(self, data: Any, cached: bool) -> WorkerList:
--- a/pulleyroute/service/assembly.py
+++ b/pulleyroute/service/assembly.py
@@ -178,7 +178,8 @@
 
     def _pool(self, config: Config, pool: Pool, context: ssl.SSLContext | None) -> Running:
         settings = pool_settings(config, pool)
-        names = NameTable(self._loop, self._buffers, pool.discovery or NOWHERE, settings, self._epoch)
+        names = NameTable(self._loop, self._buffers, pool.discovery or NOWHERE, settings, self._epoch,
+                          self._random.getrandbits(64))
         back: Calls | Instances
         if pool.protocol == "grpc":
             limits = Limits(window=pool.window, ping_after=pool.ping_after, ping_patience=pool.ping_patience,
@@ -199,7 +200,10 @@
             names.load_known({"revision": 0, "complete": True, "members": []})
             # At once: the decisions would ask within 2.5 s, spread for the sake of many that start together,
             # and until then there is nobody to take a job.
-            names.watch(True)
+            if settings.list_on_request:
+                names.watch(True)
+            else:
+                names.keep(settings)
         return running
 
     def _renew(self, running: Running, pool: Pool, context: ssl.SSLContext | None) -> None:
--- a/tests/net/conftest.py
+++ b/tests/net/conftest.py
@@ -1,6 +1,7 @@
 """Every scene is left in order, and what it still held is counted."""
 
 import pytest
+from loguru import logger
 
 from tests.net.scene import Scene
 
@@ -11,3 +12,12 @@
     yield
     for scene in Scene.made:
         scene.leave()
+
+
+@pytest.fixture
+def logged():
+    """The lines that the program logs in a test."""
+    lines = []
+    sink = logger.add(lines.append, level="INFO", format="{message}")
+    yield lines
+    logger.remove(sink)
--- a/tests/net/scene.py
+++ b/tests/net/scene.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+import select
 import socket
 import time
 from typing import ClassVar
@@ -129,11 +130,11 @@
 
     def untouched(self) -> bool:
         self.loop.settle()
-        try:
-            self.sock.accept()
-        except BlockingIOError:
-            return True
-        return False
+        return self.untouched_now()
+
+    def untouched_now(self) -> bool:
+        """Whether nobody stands at the door; who does stays there."""
+        return not select.select([self.sock], [], [], 0)[0]
 
 
 class Scene:
@@ -142,9 +143,9 @@
     made: ClassVar[list[Scene]] = []  # by the test that runs
 
     def __init__(self, instances: int = 1, most: int = 50, most_jobs: int = 30,
-                 beside: Scene | None = None, listens: bool = True, **caps) -> None:
+                 beside: Scene | None = None, listens: bool = True, info: dict = INFO, **caps) -> None:
         """`beside`: another process of the same dispatcher, in the same world."""
-        info = {**INFO, "caps": {**INFO["caps"], **caps}}
+        info = {**info, "caps": {**info["caps"], **caps}}
         self.settings: Settings = read_settings(info)[0]
         self.loop, pool = beside.loop if beside else StillLoop(), BufferPool()
         self.figures = Figures()
--- /dev/null
+++ b/tests/net/test_pushed_list.py
@@ -0,0 +1,193 @@
+"""A list that an agent pushes: watched from the start, whatever ends the watch, and the rules hear of it."""
+
+import json
+
+import pytest
+
+from pulleyroute.__main__ import build, reload
+from pulleyroute.interface import ListKind
+from pulleyroute.net.config import load_config
+from pulleyroute.net.handover import Handover, place
+from tests.net.scene import INFO, MS, SECOND, Listener, Scene
+from tests.net.test_name_table import CHUNKS, chunk
+
+PUSHED = {**INFO, "membership-mode": "pushed", "obligations": {**INFO["obligations"], "drain-grace": 500000}}
+GRACE = 500 * MS
+
+
+class Agent:
+    """The agent beside one dispatcher, scripted; what the decisions are told is noted."""
+
+    def __init__(self, info=PUSHED):
+        self.scene = Scene(instances=2, info=info)
+        self.told = []
+        tell = self.scene.names.tell
+        self.scene.names.tell = lambda news: (self.told.append(news.kind), tell(news))
+        self.scene.names.keep(self.scene.settings)
+        self.loop, self.door = self.scene.loop, self.scene.discovery
+
+    def opened(self, since):
+        peer = self.door.accept()
+        assert b"GET /api/targets?watch=1&from=%d " % since in peer.message()[0]
+        peer.send(CHUNKS)
+        return peer
+
+    def line(self, *names, **more):
+        return chunk(json.dumps(self.scene.table(*names, **more)).encode() + b"\n")
+
+    def ready(self):
+        return sorted(w.id for w in self.scene.host._dispatcher.ready)
+
+
+def test_a_pushed_list_is_watched_from_the_start_and_binds():
+    # Guards the drain rule: the decisions never ask for a pushed list, and nobody else opened the watch.
+    agent = Agent()
+    peer = agent.opened(1)
+    peer.send(agent.line("s-0", phase="leaving", complete=False, revision=2))
+    agent.loop.until(lambda: agent.ready() == [b"s-1"])
+    assert not agent.scene.names.active(b"s-0")
+
+
+def test_an_asked_list_is_left_to_the_decisions():
+    agent = Agent(info=INFO)
+    assert agent.door.untouched()
+
+
+def test_a_watch_that_ends_is_opened_anew_at_once_from_where_it_stood():
+    agent = Agent()
+    peer = agent.opened(1)
+    peer.send(agent.line("s-0", phase="leaving", complete=False, revision=2))
+    agent.loop.until(lambda: agent.told)
+    agent.loop.skip(SECOND)
+    peer.close()
+    peer = agent.opened(2)  # with no time passed
+    peer.send(agent.line("s-0", complete=False, revision=3))
+    agent.loop.until(lambda: agent.ready() == [b"s-0", b"s-1"])
+    assert agent.told == [ListKind.DELTA, ListKind.FAILED, ListKind.DELTA]
+
+
+def test_an_agent_that_is_down_is_called_with_growing_pauses_within_half_the_grace():
+    # Guards the agent's machine against a hot loop, and the drain rule against long pauses.
+    agent = Agent()
+    calls = []
+    for _ in range(40):
+        agent.door.accept().close()
+        calls.append(agent.loop.time)
+        agent.loop.settle()
+        while agent.door.untouched_now():
+            agent.loop.skip(10 * MS)
+            assert agent.loop.time - calls[-1] <= GRACE / 2 + 10 * MS
+    assert calls[-1] - calls[0] > 40 * GRACE / 8  # the mean of the draws is a quarter of the grace
+    assert agent.told == [ListKind.FAILED]  # and told of once
+
+
+def test_silence_is_told_to_the_decisions_and_so_is_its_end():
+    agent = Agent()
+    agent.opened(1)
+    agent.loop.settle()
+    agent.loop.skip(5 * SECOND)
+    assert agent.told == [ListKind.FAILED] and not agent.scene.host._dispatcher.subscribed
+    peer = agent.opened(1)  # a new call stands at the agent while it is silent
+    peer.send(chunk(b"\n"))  # it speaks again, and nothing has changed
+    agent.loop.until(lambda: len(agent.told) == 2)
+    assert agent.told[1] is ListKind.DELTA and agent.scene.host._dispatcher.subscribed
+    assert agent.ready() == [b"s-0", b"s-1"]
+
+
+@pytest.mark.parametrize("bad", [
+    b"garbage\n", b"{}\n", b'{"revision":9,"complete":true,"members":[{}]}\n', b"[1]\n", b"7\n",
+    b'{"revision":9,"complete":true,"mem',
+])
+def test_what_cannot_be_read_changes_nothing_and_is_told_of_once(bad, logged):
+    agent = Agent()
+    peer = agent.opened(1)
+    agent.loop.skip(SECOND)
+    peer.send(chunk(bad))
+    peer.close()
+    peer = agent.opened(1)
+    peer.send(chunk(bad))
+    peer.close()
+    agent.loop.settle()
+    agent.loop.skip(SECOND)
+    peer = agent.opened(1)
+    peer.send(agent.line("s-0", phase="leaving", complete=False, revision=2))
+    agent.loop.until(lambda: agent.ready() == [b"s-1"])
+    assert len([line for line in logged if "watch failed" in line]) == 1
+
+
+def test_a_list_that_goes_back_is_passed_over_until_it_is_plain_that_versions_began_anew(logged):
+    # Guards the drain rule: an agent that comes back with what it once saved.
+    agent = Agent()
+    peer = agent.opened(1)
+    peer.send(agent.line("s-0", phase="leaving", complete=False, revision=8))
+    agent.loop.until(lambda: agent.ready() == [b"s-1"])
+    for _ in range(3):
+        peer.send(agent.line("s-0", "s-1", revision=5))
+        agent.loop.settle()
+        agent.loop.skip(SECOND)
+    assert agent.ready() == [b"s-1"]
+    assert len([line for line in logged if "passed over" in line]) == 1
+    peer.send(chunk(b"\n"))
+    agent.loop.settle()
+    agent.loop.skip(3 * SECOND)
+    peer.send(agent.line("s-0", "s-1", revision=6))
+    whole = agent.door.accept()
+    assert whole.message()[0].startswith(b"GET /api/targets HTTP")
+    body = json.dumps(agent.scene.table("s-0", "s-1", revision=6)).encode()
+    whole.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+    agent.opened(6)
+    assert agent.ready() == [b"s-0", b"s-1"]
+
+
+def test_a_move_and_a_change_of_the_way_keep_the_list_open():
+    agent = Agent()
+    agent.opened(1)
+    new = Listener(agent.loop)
+    agent.scene.names.move(new.address)
+    whole = new.accept()
+    assert whole.message()[0].startswith(b"GET /api/targets HTTP")
+    body = json.dumps(agent.scene.table("s-1", revision=1)).encode()
+    whole.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+    assert b"?watch=1&from=1 " in new.accept().message()[0]
+    other = Agent(info=INFO)
+    other.scene.parts.adopt(agent.scene.settings)  # pushed from now on
+    peer = other.opened(1)
+    peer.send(other.line("s-0", phase="leaving", complete=False, revision=2))
+    other.loop.until(lambda: other.ready() == [b"s-1"])
+
+
+def test_a_list_taken_over_at_an_upgrade_is_watched_from_its_own_version():
+    # Guards the drain rule: the old process may know less than the new one's watch has told already.
+    agent = Agent()
+    agent.opened(1).send(agent.line("s-0", phase="leaving", complete=False, revision=2))
+    agent.loop.until(lambda: agent.ready() == [b"s-1"])
+    handover = Handover(agent.loop, place("/nowhere", agent.door.sock), agent.scene.clients, agent.scene.host,
+                        agent.scene.names, None)
+    handover._whole = True
+    link = type("Link", (), {"shift": 0, "close": lambda self, why: None})()
+    handover._use(link, [{"phase": "serving"}, {"list": agent.scene.table("s-0", "s-1", revision=1)}])
+    assert agent.ready() == [b"s-0", b"s-1"]
+    agent.opened(1).send(agent.line("s-0", phase="leaving", complete=False, revision=2))
+    agent.loop.until(lambda: agent.ready() == [b"s-1"])
+
+
+def test_the_program_itself_opens_the_watch(tmp_path, monkeypatch):
+    scene = Scene()
+    path = tmp_path / "config.json"
+    config = {"name": "n", "listen": "127.0.0.1:18080", "seed": "ff", "settings": PUSHED,
+              "discovery": "{}:{}".format(*scene.discovery.address), "known": scene.table("s-0")}
+    path.write_text(json.dumps(config))
+    monkeypatch.setenv("PROXY_CONFIG", str(path))
+    loaded = load_config({"PROXY_CONFIG": str(path)})
+    loaded.listen = ("127.0.0.1", 0)
+    parts = build(loaded, scene.loop)
+    peer = scene.discovery.accept()
+    assert b"?watch=1&from=1 " in peer.message()[0]
+    peer.send(CHUNKS + chunk(json.dumps(scene.table("s-0", phase="leaving", revision=2)).encode() + b"\n"))
+    scene.loop.until(lambda: not parts.names.active(b"s-0"))
+    config["settings"] = {**PUSHED, "membership-mode": "on_request"}
+    path.write_text(json.dumps(config))
+    reload(parts)
+    assert not parts.names._kept and parts.names.member(b"s-0").entry["phase"] == "leaving"
+    parts.names.watch(False)
+    parts.clients.listener.close()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -106,8 +106,9 @@
     outside, inside = (set(line.split()) for line in done.stdout.splitlines())
     assert outside == {"h11", "loguru", "pulleyroute"}
     assert inside == {"pulleyroute", *(f"pulleyroute.{name}" for name in (
-        "__main__", "interface", "rules", "settings", "net", "net.buffers", "net.config", "net.host",
-        "net.duty", "net.figures", "net.handover", "net.http", "net.management", "recall",
+        "__main__", "interface", "rules", "settings", "net", "net.backoff", "net.buffers",
+        "net.config", "net.host", "net.duty", "net.figures", "net.handover", "net.http",
+        "net.management", "recall",
         "net.instance", "net.listener", "net.log", "net.loop", "net.moderation", "net.name_table",
         "net.process",
         "net.service_client"))}
