Count cold budgets in work, read guesses of cost, and take no first zeros for full

Ruled out: instances held to be down (2,416), the budget of connections, probes.

At fault: read_report knew such a report by its jobs in hand, which this deployment does not tell; affordable counted jobs by `running`, which cold instances stretch to twice, and by number; nobody read X-Estimate. Now idle cores count too; budgets go by running times of warm instances and by a job's guess, and grow by up to half where a fresh reading shows free slots; a light job by its guess waits less. Messages between dispatchers went for it: no deployment allows and no protocol on sockets carries them.

--- a/pulleyroute/net/host.py
+++ b/pulleyroute/net/host.py
@@ -65,6 +65,7 @@
     memory: float = 0.0
     key: int = 0
     is_repeat: bool = False
+    hint: int | None = None  # the client's guess of its work, in microseconds
     answer_by: int | None = None  # the clock's time, where this process will not be there for longer
     call: object = None  # what a front that streams binds to it; for its own back alone
 
@@ -258,8 +259,8 @@
         job = Job(self._count, request, reply, deadline, cls, self._settings.max_attempts, self._loop.now())
         self._hold(job)
         self.post(api.JobArrived(
-            job.number, request.job_class, left, request.slots, request.memory, key=request.key,
-            is_repeat=request.is_repeat,
+            job.number, request.job_class, left, request.slots, request.memory, cost_hint=request.hint,
+            key=request.key, is_repeat=request.is_repeat,
         ))
         return job
 
--- a/pulleyroute/net/instance.py
+++ b/pulleyroute/net/instance.py
@@ -357,8 +357,9 @@
         usable = isinstance(value, int | float) and not isinstance(value, bool) and math.isfinite(value)
         if attribute is not None and usable:
             setattr(report, attribute, float(value))
-    if not report.free_slots and report.in_hand == 0:
-        # Guards the first seconds: an instance that has taken no reading yet reports zeros throughout. Idle
-        # and without a free slot contradicts itself, and taken for full it would be pushed nothing.
+    if not report.free_slots and (report.in_hand == 0 or report.busy == 0):
+        # Guards the first seconds: an instance that has taken no reading yet reports zeros throughout. Idle,
+        # by the jobs it holds or by its cores, and without a free slot contradicts itself, and taken for full
+        # it would be pushed nothing.
         return None
     return report
--- a/pulleyroute/net/service_client.py
+++ b/pulleyroute/net/service_client.py
@@ -483,10 +483,23 @@
         target=message.target, body=message.body,
         headers=[(name, value) for name, value in message.headers if name in PASSED_ON],
         slots=labels.get("slots", 1.0), memory=labels.get("memory", 0.0), key=read_key(pairs.get("k", "")),
-        is_repeat=message.one(b"x-resent") == b"1",
+        is_repeat=message.one(b"x-resent") == b"1", hint=read_estimate(message),
     )
 
 
+def read_estimate(message: Message) -> int | None:
+    """A client's guess of its job's work, in microseconds; one that is no such number counts as none.
+
+    Guards the job: a guess that went wrong is no reason to turn it away.
+    """
+    told = [value for name, value in message.headers if name == b"x-estimate"]
+    if len(told) == 1 and _WHOLE.fullmatch(told[0]) and int(told[0]) > 0:
+        return int(told[0])
+    if told:
+        logger.bind(event="request.estimate").info("an estimate of {!r} is passed over", told[0][:40])
+    return None
+
+
 def read_labels(data: bytes) -> dict[str, float]:
     """Of `name=value,name=value` those that are known; a value that is no sensible number is an error."""
     labels: dict[str, float] = {}
--- a/pulleyroute/rules.py
+++ b/pulleyroute/rules.py
@@ -49,23 +49,14 @@
 # Probes sent for each job taken.
 PROBES_PER_JOB = 1.0
 
-# What a peer told is forgotten after so many ticks: its next message may have been lost.
-FORGET = 16
 # Of a fleet of more than three times as many a dispatcher keeps to so many workers: the fewer they are, the
 # more of what they hold are its own pushes, but a job must still find one free.
 NEAR = 8
-# Telling peers of a push and its end may cost so many points: knowing of it was worth twice that and more.
-TELL_PRICE = 0.02
 
 PROVEN_NOT_RUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 TICK = 0  # the token of the standing timer
 
 
-def digest(worker: api.WorkerId) -> bytes:
-    """A short name for a worker in messages to peers."""
-    return crc32(worker).to_bytes(4, "big")[:3]
-
-
 def rank(worker: api.WorkerId, dispatcher: int) -> float:
     """Rendezvous: how far a worker is from a dispatcher, from 0 to 1, the same wherever it is worked out."""
     return crc32(worker + dispatcher.to_bytes(2, "big")) * 2654435761 % 2**32 / 2**32
@@ -90,8 +81,8 @@
 class Job:
     """A job taken and not yet forgotten."""
 
-    __slots__ = ("attempts", "cls", "deadline", "ended", "id", "memory", "most", "out", "slots", "tries",
-                 "useful_until", "waits")
+    __slots__ = ("attempts", "cls", "deadline", "ended", "hint", "id", "memory", "most", "out", "slots",
+                 "tries", "useful_until", "waits")
 
     def __init__(self, event: api.JobArrived, settings: api.Settings, now: int) -> None:
         self.id = event.job
@@ -101,6 +92,9 @@
         self.useful_until = self.deadline  # an answer later than this earns little; set at each placing
         self.slots = event.slots
         self.memory = event.memory
+        # Guards the reckoning against a spoilt guess: no job in time runs for longer than its client waits.
+        hint = event.cost_hint or 0
+        self.hint = min(hint, event.time_left) if hint > 0 else None
         self.attempts: list[Attempt] = []
         self.out = 0  # attempts out
         self.tries = 0  # pushes not accepted, and draws that found nobody
@@ -112,9 +106,9 @@
     """What this dispatcher knows of a worker."""
 
     __slots__ = (
-        "asked", "audience", "blame", "blamed_at", "budget", "budget_at", "cell", "deep", "deltas",
+        "asked", "blame", "blamed_at", "budget", "budget_at", "cell", "deep", "deltas",
         "down_until", "free", "heard", "held", "holds", "id", "kind", "longest", "memory",
-        "most", "mute", "net", "others", "out", "own", "prompt", "rank", "ready", "report_at", "shut",
+        "most", "mute", "net", "others", "out", "prompt", "rank", "ready", "report_at", "shut",
         "signature", "started", "unstarted", "wait", "wait_at", "zone",
     )
 
@@ -123,12 +117,10 @@
         self.out: dict[tuple[int, int], Attempt] = {}
         self.unstarted: dict[tuple[int, int], Attempt] = {}
         self.deltas: deque[tuple[int, float]] = deque()
-        self.own = 0.0  # slots that own attempts hold there
-        self.held = 0.0  # the same with what peers have told
+        self.held = 0.0  # slots that own attempts hold there
         self.net = 0.0  # slots so taken since the last report, less those given back
         self.asked = 0
         self.rank = 0.0  # how far it is from this dispatcher
-        self.audience: list[int | None] | None = None  # the peers to be told of it
         self.update(entry)
         self.reset(entry)
 
@@ -168,8 +160,6 @@
         self.jobs: dict[int, Job] = {}
         self.full_time: dict[tuple[str, int], int] = {}  # by class: the time that a first try comes with
         self.workers: dict[api.WorkerId, Worker] = {}
-        self.digests: dict[bytes, Worker] = {}
-        self.told: dict[tuple[int, bytes], tuple[int, int]] = {}  # slots a peer holds at a worker, since when
         self.ready: list[Worker] = []
         self.tight = 0.0  # the share of jobs lately that found no room at home
         self.held = self.load = 0.0  # slots that own started attempts hold, now and on average
@@ -183,6 +173,8 @@
         self.todo: list[api.Action] = []
         self.running = sum(c.aim for c in settings.classes) / len(settings.classes)  # mean running time seen
         self.runs: dict[str, float] = {}  # the same by class
+        self.work = self.running  # the same on warm workers
+        self.hinted = 1.0  # how long jobs run for each unit that was guessed
         # What waits turned out to be, and were modelled as: others' jobs, not told of, stand in line too.
         self.waits_seen = self.waits_modelled = self.running
         self.gap = 0.0  # time between two reports of a worker, as seen
@@ -200,7 +192,7 @@
             api.WorkerList: self.on_list,
             api.TimerFired: self.on_timer,
             api.JobExpired: self.on_expired,
-            api.PeerMessage: self.on_peer,
+            api.PeerMessage: lambda event: None,  # no deployment has them
             api.SettingsChanged: self.on_settings,
         }
 
@@ -237,8 +229,9 @@
             return
         # A later try of a client comes with less time than a first one: so much of its aim is gone already.
         born = job.deadline - self.full_time[job.cls.name, job.cls.give_up]
-        spare = max(0.0, job.cls.stretch - 1) * TYPICAL * self.runs.get(job.cls.name, self.running)
-        useful = born + int((job.cls.aim + spare) * self.rank(job.cls))
+        # Guards heavy jobs against a wait that a guess alone allows: it is rough, and some workers are slow.
+        spare = min(self.expected(job), TYPICAL * self.runs.get(job.cls.name, self.running))
+        useful = born + int((job.cls.aim + max(0.0, job.cls.stretch - 1) * spare) * self.rank(job.cls))
         job.useful_until = min(job.deadline, useful)
         if self.abroad < 1:
             home = any(w.zone == self.settings.zone and self.room(w, job) > ROOM for w in self.near)
@@ -254,7 +247,7 @@
         worker.out[key] = attempt
         worker.unstarted[key] = attempt
         self.take(worker, job.slots)
-        worker.budget -= job.slots
+        worker.budget -= self.size(job)
         self.todo.append(api.Push(job.id, worker.id, job.deadline))
         self.expect_start(attempt)
 
@@ -287,6 +280,16 @@
         if worker.mute > 1:
             worker.down_until = self.now + min(self.patience, self.tick * (worker.mute - 1))
 
+    def expected(self, job: Job) -> float:
+        """How long the job will run on a warm worker: at least, where nobody has guessed it."""
+        if job.hint is not None:
+            return job.hint * self.hinted
+        return TYPICAL * self.runs.get(job.cls.name, self.running)
+
+    def size(self, job: Job) -> float:
+        """The job's work in mean jobs."""
+        return job.slots if job.hint is None else job.slots * self.expected(job) / self.work
+
     def density(self, cls: api.JobClass) -> float:
         """Worth for each microsecond of running."""
         return cls.worth if self.settings.by_work else cls.worth / self.runs.get(cls.name, self.running)
@@ -400,27 +403,34 @@
         if worker.blame:
             blame = worker.blame * 0.5 ** ((now - worker.blamed_at) / self.patience)
             weight *= ERROR_FACTOR ** blame
-        age = now - worker.started
-        if worker.started and age < self.settings.ramp_time:
-            share = self.present(age)
-            weight *= share if self.affordable(worker, share, job.slots) else 0.0
+        if self.cold(worker):
+            share = self.present(now - worker.started)
+            weight *= share if self.affordable(worker, share, self.size(job)) else 0.0
         return weight
 
+    def cold(self, worker: Worker) -> bool:
+        """Whether it may not be warm yet."""
+        return worker.started > 0 and self.now - worker.started < self.settings.ramp_time
+
     def present(self, age: int) -> float:
         """The share of its capacity that a worker of this age has at the least."""
         cold = self.settings.cold_share
         return cold + (1 - cold) * age / self.settings.ramp_time
 
-    def affordable(self, worker: Worker, share: float, slots: float) -> bool:
-        """Whether this dispatcher's part of a cold worker's budget has room for the job."""
+    def affordable(self, worker: Worker, share: float, size: float) -> bool:
+        """Whether this dispatcher's part of a cold worker's budget has room for so many mean jobs."""
         s = self.settings
-        whole = s.tip_multiple * share * max(worker.most, 1.0) * s.tip_window / self.running  # jobs
+        whole = s.tip_multiple * share * max(worker.most, 1.0) * s.tip_window / self.work  # jobs
         # Guards a cold fleet against idling: a slot free by a fresh reading proves that all dispatchers
         # together send less than the worker does, so that neither chance nor crowds need room kept for them.
         roomy = (worker.free or 0.0) >= 1 and self.now - worker.report_at < s.tip_window / 2
         # Of all dispatchers those that keep to it, and as many again, as they are not spread evenly.
         sharers = s.dispatchers * min(1.0, (2 - roomy) * max(1, len(self.near)) / len(self.ready))
         planned = COLD_SHARE_USED * whole
+        if roomy and self.now - worker.started > 2 * s.tip_window:
+            # Guards against idling where a worker warms sooner than the settings promise: one that is sent
+            # as much as it surely does, and that still shows free slots, does more.
+            planned *= 1 + min(1.0, (worker.free or 0.0) / worker.most) / 2
         if sharers > NEAR and not roomy:
             # Guards against chance: many that act alone make a random stream; four deviations fit.
             planned = min(planned, ((max(0.0, whole - 1) + 4) ** 0.5 - 2) ** 2)
@@ -432,37 +442,13 @@
         if worker.budget < 0 and not worker.budget_at:
             worker.budget = self.rng.random()
         else:
-            room = max(slots, per_us * s.tip_window)
+            room = max(size, per_us * s.tip_window)
             worker.budget = min(room, worker.budget + per_us * (self.now - worker.budget_at))
         worker.budget_at = self.now
-        return worker.budget >= slots
+        return worker.budget >= size and size <= max(1.0, planned)
 
     def take(self, worker: Worker, slots: float) -> None:
-        """Note own slots taken or given back at a worker, and tell the peers where they can be told."""
-        worker.own += slots
-        self.count(worker, slots)
-        if self.settings.peer_messages:
-            line = self.line(worker)
-            if worker.audience is None:
-                worker.audience = self.audience(worker)
-            self.todo += [api.Tell(line, peer) for peer in worker.audience]
-
-    def audience(self, worker: Worker) -> list[int | None]:
-        """The peers that keep to this worker: all of a small fleet's, and none if that costs too much."""
-        peers: list[int | None] = [None]
-        count = self.settings.dispatchers - 1
-        if self.near is not self.ready:
-            reach = NEAR / len(self.ready)
-            peers = [p for p in range(count + 1) if p != self.settings.me and rank(worker.id, p) < reach]
-            count = len(peers)
-        return peers if 2 * 4 / 256 * self.settings.price_peer * count <= TELL_PRICE else []
-
-    def line(self, worker: Worker) -> bytes:
-        """The slots held at a worker, for peers: not the change, so that a loss mends itself."""
-        return digest(worker.id) + bytes([min(255, max(0, round(worker.own)))])
-
-    def count(self, worker: Worker, slots: float) -> None:
-        """Note slots taken or given back at a worker, against the next report."""
+        """Note own slots taken or given back at a worker, against the next report."""
         worker.held += slots
         worker.deltas.append((self.now, slots))
         worker.net += slots
@@ -594,6 +580,10 @@
             if attempt.started:
                 took = self.now - attempt.started
                 self.running += BLEND * (took - self.running)
+                if not self.cold(worker):
+                    self.work += BLEND * (took - self.work)
+                    if attempt.job.hint is not None:
+                        self.hinted += BLEND * (min(10.0, took / attempt.job.hint) - self.hinted)
                 run = self.runs.get(attempt.job.cls.name, self.running)
                 self.runs[attempt.job.cls.name] = run + BLEND * (took - run)
         elif outcome is Outcome.FULL:
@@ -708,7 +698,6 @@
             if worker is None:
                 worker = self.workers[entry.worker] = Worker(entry)
                 worker.rank = rank(worker.id, self.settings.me)
-                self.digests[digest(worker.id)] = worker
             elif entry.started != worker.started:
                 worker.reset(entry)
             worker.update(entry)
@@ -732,15 +721,10 @@
         self.near = self.ready
         if len(self.ready) > 3 * NEAR:
             # Guards against the time that a large fleet takes, and against knowing too little of too many.
-            peers = self.settings.peer_messages  # they work out the same by `rank`, but know of no zone
             order = sorted((w for w in self.ready if w.holds < 2), key=lambda worker: worker.rank)
-            least = self.width // 4 if peers else 3 * self.width // 4
-            home = [w for w in order if w.zone == self.settings.zone][:least]
+            home = [w for w in order if w.zone == self.settings.zone][:3 * self.width // 4]
             far = [w for w in order if w not in home]
-            reach = self.width / len(self.ready)
-            self.near = home + ([w for w in far if w.rank < reach] if peers else far[:self.width - len(home)])
-        for worker in self.ready:
-            worker.audience = None
+            self.near = home + far[:self.width - len(home)]
 
     def plan_asking(self) -> None:
         """When to subscribe next: spread at random, and later after each failure."""
@@ -764,10 +748,6 @@
                 self.reconsider(attempt)
             return
         self.todo.append(api.SetTimer(self.tick, TICK))
-        for (peer, name), (slots, at) in list(self.told.items()):
-            if self.now - at > FORGET * self.tick:
-                self.count(self.digests[name], -slots)
-                del self.told[peer, name]
         if not self.subscribed and self.now >= self.ask_at:
             self.todo.append(api.Subscribe(True))
             self.ask_at = self.now + self.settings.ask_every // 2
@@ -804,16 +784,3 @@
                 job = attempt.job
                 if not job.ended and job.cls.effect is not Effect.UNSAFE:
                     self.todo.append(api.Cancel(job.id, attempt.index))
-
-    # Peers
-
-    def on_peer(self, event: api.PeerMessage) -> None:
-        """A peer's pushes count like own ones: it tells how many slots it holds at a worker."""
-        for at in range(0, len(event.payload) - 3, 4):
-            name, slots = event.payload[at:at + 3], event.payload[at + 3]
-            worker = self.digests.get(name)
-            if worker is not None:
-                before, _ = self.told.pop((event.sender, name), (0, 0))
-                self.count(worker, slots - before)
-                if slots:
-                    self.told[event.sender, name] = slots, self.now
--- a/tests/net/test_service_client.py
+++ b/tests/net/test_service_client.py
@@ -70,6 +70,20 @@
     assert (request.body, request.memory) == (b"ok", 2.0)
 
 
+@pytest.mark.parametrize(("told", "hint"), [
+    (["2500"], 2500), ([], None), (["0"], None), (["-4"], None), (["9" * 40], None), (["soon"], None),
+    (["1e3"], None), (["5", "6"], None),
+])
+def test_a_guess_of_the_work_reaches_the_decisions_and_a_spoilt_one_turns_nobody_away(told, hint, logged):
+    scene = Scene()
+    estimates = "".join(f"X-Estimate: {value}\r\n" for value in told)
+    scene.client().send("POST /read HTTP/1.1\r\nHost: api\r\nX-Txn: t1\r\nX-Remaining-Ms: 4000\r\n"
+                        f"{estimates}Content-Length: 0\r\n\r\n".encode())
+    scene.loop.until(lambda: scene.host.knows("t1"))
+    assert scene.host._dispatcher.jobs[1].hint == hint
+    assert sum("estimate" in line for line in logged) == (1 if told and hint is None else 0)
+
+
 def test_an_id_that_is_being_worked_on_is_no_new_request():
     scene = Scene()
     first = scene.ask()
