--- a/tests/net/test_main.py
+++ b/tests/net/test_main.py
@@ -10,6 +10,8 @@
 import time
 from pathlib import Path
 
+import pytest
+
 from pulleyroute.__main__ import descriptors
 
 ROOT = Path(__file__).parent.parent.parent
@@ -49,8 +51,10 @@
     return value
 
 
-def test_the_example_serves_and_sigterm_ends_it_cleanly(tmp_path):
-    text = (ROOT / "examples" / "config.json").read_text().replace("127.0.0.1", HOST)
+@pytest.mark.parametrize(("example", "path_of_class"), [
+    ("config.json", b"/balance-check"), ("pushed.json", b"/show-menu")])
+def test_the_examples_serve_and_sigterm_ends_them_cleanly(tmp_path, example, path_of_class):
+    text = (ROOT / "examples" / example).read_text().replace("127.0.0.1", HOST)
     assert json.loads(text)["listen"] == f"{HOST}:8080"
     path, old = tmp_path / "config.json", json.loads(text)["discovery"]
     path.write_text(text)
@@ -64,7 +68,8 @@
     try:
         assert [toy.stdout.readline() for _ in range(3)][-1].startswith(b"s-two listens")
         until(lambda: (get(b"/-/ready") or b"").startswith(b"HTTP/1.1 200 "))
-        answer = exchange(b"POST /balance-check HTTP/1.1\r\nHost: x\r\nX-Txn: t1\r\nX-Remaining-Ms: 60000\r\n"
+        answer = exchange(b"POST " + path_of_class +
+                          b" HTTP/1.1\r\nHost: x\r\nX-Txn: t1\r\nX-Remaining-Ms: 60000\r\n"
                           b"Content-Length: 5\r\nConnection: close\r\n\r\nhello")
         assert answer.startswith(b"HTTP/1.1 200 ") and answer.endswith(b" did hello")
         # A reload: a file that can't be used changes nothing; a good one moves it to the new discovery,
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -151,18 +151,21 @@
     assert call.status() == 0
 
 
-def test_a_pool_with_discovery_asks_it_at_once(tmp_path):
+@pytest.mark.parametrize("lists", ["asked", "pushed"])
+def test_a_pool_with_discovery_asks_it_at_once(tmp_path, lists):
     play = Play(tmp_path)
     discovery = Listener(play.loop)
     text = play.path.read_text()
     start, end = text.index("pool "), text.index("class ")
-    pool = 'pool "apps" {{\n  protocol = "grpc"\n  discovery = "{}:{}"\n}}\n'.format(*discovery.address)
+    pool = 'pool "apps" {{\n  protocol = "grpc"\n  discovery = "{}:{}"\n  lists = "{}"\n}}\n'.format(
+        *discovery.address, lists)
     play.path.write_text(text[:start] + pool + text[end:])
     made = play.service.apply(load(play.path))
     assert made.new_pools == ["apps"]  # the decisions of a pool without discovery would never ask again
     before = play.loop.time
     head, _ = discovery.accept().message()
     assert head.startswith(b"GET /api/targets?watch=1") and play.loop.time == before
+    assert play.service.pools["apps"].settings.list_on_request is (lists == "asked")
 
 
 def test_a_stop_finishes_what_is_out_and_then_ends_the_loop(tmp_path):
