Read the stand-in store's address with the configuration's reader, and scan changes once

`pulleyroute emulate` took HOST:PORT apart by itself; config.types.At does that, port 0 included. A watch of the stand-in went through all keys' history fifty times a second though nothing had changed; it does so only after a new revision. With that a watch asked for from a revision to come no longer tells of earlier ones.

--- a/pulleyroute/cli/emulate.py
+++ b/pulleyroute/cli/emulate.py
@@ -21,18 +21,22 @@
     leases: Annotated[Literal["extend", "end"],
                       typer.Option(help="What becomes of the log's leases at a start.")] = "extend",
 ) -> None:
+    from pulleyroute.config.types import At
     from pulleyroute.emulator.store import Server
     from pulleyroute.net.loop import Loop
     from pulleyroute.net.process import catch_signals, heeding, on_error
 
-    host, _, port = address.rpartition(":")
-    if not host.startswith("127.") or not port.isdigit() or int(port) > 65535:
+    try:
+        place = At(any_port=True).read(address)
+    except ValueError:
+        place = "", 0
+    if not place[0].startswith("127."):
         print(f"pulleyroute: {address!r} is not HOST:PORT with a loopback host", file=sys.stderr)
         raise typer.Exit(2)
     source, sink = catch_signals()
     loop = Loop(on_error)
     try:
-        server = Server(loop, (host, int(port)), log, leases)
+        server = Server(loop, place, log, leases)
     except (OSError, ValueError, KeyError) as exc:
         print(f"pulleyroute: the store can't start: {exc}", file=sys.stderr)
         raise typer.Exit(1) from None
--- a/pulleyroute/emulator/store.py
+++ b/pulleyroute/emulator/store.py
@@ -228,8 +228,9 @@
                     yield from stream.send(_line({"header": self._header(), "canceled": True,
                                                   "compact_revision": str(self.store.compacted)}), None)
                     return
-                changed = self.store.events(key, end, start)
-                start = self.store.revision + 1
+                # Not at every look: reading what has changed goes through all keys' history.
+                changed = self.store.events(key, end, start) if start <= self.store.revision else []
+                start = max(start, self.store.revision + 1)
                 if changed:
                     yield from stream.send(_line({"header": self._header(), "events": [
                         {"kv": _item(item)} if item.version else {"type": "DELETE", "kv": _item(item)}
