Keep every list's watch open in the discovery client, all its pauses within six seconds

Seen in the code, then shown by tests that fail on the revision before: a silent watch was noticed after 4 s, the decisions then paused for up to 0.25 of the grace and a tick, and the head of the new watch was given 4 s again: over 8 s in the worst case, and up to 2 x ask-every of pauses (20 s for Fosse) after several failures. A tick follows the shortest give-up time, so a customer with long deadlines asked later still. A Subscribe while a watch was being opened cut that one off. A word that trickles in kept a watch alive for ever, since each chunk was in time by itself; an indented object broke it.

At fault: SILENCE for two bounds and _following in net/name_table.py, and that asked lists hung on the pace of rules.plan_asking. Calls are spread by the fleet's size in the settings. Words cuts a watch into words, indented or not, and each has to be whole so long after the one before.

One test is replaced, as it held the old way: an asked list was left to the decisions; now it is watched from the start, spread by the fleet's size. Two wait 3 s where they waited 5 s, since silence is noticed sooner.

--- a/pulleyroute/__main__.py
+++ b/pulleyroute/__main__.py
@@ -144,7 +144,7 @@
         meeting = place(os.environ.get("TMPDIR") or "/tmp", listener)
         handover = Handover(loop, meeting, clients, host, names, parts)
         loop.spawn(handover.take_over(listener), "hand-over start")
-    names.keep(config.settings)
+    names.begin()
     return parts
 
 
--- a/pulleyroute/net/name_table.py
+++ b/pulleyroute/net/name_table.py
@@ -1,16 +1,18 @@
-"""The name table: discovery's list of instances, as this dispatcher was told it.
+"""The name table: discovery's list of instances, as this dispatcher was told it, and how old that is.
 
-Where the list must be asked for, the decisions say when (`Subscribe`). Where it is pushed, the address is
-that of an agent beside this process, which answers at no cost: then the table itself keeps a watch open, from
-the start on, and opens it anew whenever it ends. The decisions hear `FAILED` once when the agent falls
-silent, and the next news, be it empty, when it speaks again.
+It keeps a watch open from the start on, and opens it anew whenever it ends or falls silent, so that what
+discovery has to tell is heard in time. Where the list is asked for, one discovery serves the whole fleet, and
+calls are spread by the fleet's size; where it is pushed, the address is that of an agent beside this process,
+which answers at no cost. The decisions hear `FAILED` once when discovery falls silent, and the next news, be
+it empty, when it speaks again.
 """
 
 from __future__ import annotations
 
 import json
 import math
-from collections.abc import Callable
+import re
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 from random import Random
 from typing import Any
@@ -26,14 +28,24 @@
 from pulleyroute.net.loop import Coroutine, Loop, Task, Wait
 
 PATH = b"/api/targets"
-CONNECT_TIME = 1_000_000
-FETCH_TIME = 3_000_000  # discovery works through its calls in turn
-SILENCE = 4_000_000  # a watch says something every 2 s; this long without a line and it is broken
+# What discovery has to tell counts as told so long after it could tell it, whether it came or not. Each bound
+# on the way is a part of this: a watch falls silent, the pause before the next call, its connect, its answer.
+TOLD = 6_000_000
+SILENCE = 2_800_000  # a watch says something every 2 s; this long without a whole word and it is broken
+FIRST_PAUSE = 400_000  # the longest before the first call after a watch has ended, of a large fleet
+CONNECT_TIME = 800_000
+FETCH_TIME = 2_000_000  # to the head of a watch, or the whole list: discovery works through its calls in turn
+LONGEST_PAUSE = 1_500_000  # between two calls while discovery is away: at its return there is time for two
+START_PAUSE = 500_000  # before the first call of a process, at most
+# Of the pauses above, for each dispatcher that calls the same discovery.
+FIRST_SHARE, LONGEST_SHARE, START_SHARE = 2_000, 10_000, 2_500
+LEAST_LONGEST = 250_000  # for a discovery that is away, however small the fleet
 MOVE_TIME = 4_000_000  # after a move, calls that fail are tried again for so long before the module is told
 MOVE_PAUSE = 500_000  # the longest pause between two of them
 BACK_TIME = 6_000_000  # lists older than the one held are passed over for so long, then held to be the truth
-FIRST_PAUSE = 16  # a pushed list's watch is tried again within this part of the drain grace at first,
-LONGEST_PAUSE = 2  # and within this part of it later: what was told in between is not to be missed
+# A pushed list's watch is tried again within this part of the drain grace at first, and of it later: what was
+# told in between is not to be missed.
+PUSHED_FIRST, PUSHED_LONGEST = 16, 2
 LINE_LIMIT = 1024 * 1024
 
 _FAILURES = (Broken, Crowded, Late, Malformed, ValueError, RecursionError)
@@ -47,9 +59,36 @@
     address: tuple[str, int]
     active: bool
     listed: bool = True  # not one that left
+    started: int = 0  # the loop's clock at its last start
     entry: dict[str, Any] | None = None  # as discovery told it
 
 
+_TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')
+
+
+class Words:
+    """Cuts what a watch brings into words: an empty line, or a JSON object, which may be indented. No I/O."""
+
+    def __init__(self) -> None:
+        self._rest = b""  # of a line
+        self._lines: list[bytes] = []  # of an object that has begun
+        self._size = self._depth = 0
+
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        """The words that are whole now; raises Broken where one is too long."""
+        *lines, self._rest = (self._rest + data).split(b"\n")
+        for line in lines:
+            bare = _TEXT.sub(b"", line)
+            self._depth += bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
+            self._lines.append(line)
+            self._size += len(line)
+            if self._depth <= 0 or self._size > LINE_LIMIT:
+                word, self._lines, self._depth, self._size = b"\n".join(self._lines).strip(), [], 0, 0
+                yield word
+        if len(self._rest) + self._size > LINE_LIMIT:
+            raise Broken("a word is too long")
+
+
 class NameTable:
     """Owns the list, its version and the calls to discovery; tells each change as a `WorkerList`."""
 
@@ -61,7 +100,7 @@
         self._pool = pool
         self._discovery = discovery
         self._random = Random(seed)
-        self._kept = False  # whether the list is pushed, and its watch kept open here
+        self._settings = settings
         self._pause = self._backoff(settings)
         self._deaf = False  # the watch has failed, and nothing has been heard since
         self._back_since: int | None = None  # since when discovery has told of older versions only
@@ -83,6 +122,11 @@
         member = self._members.get(instance)
         return member is not None and member.active
 
+    def incarnation(self, instance: WorkerId) -> int:
+        """When the listed process of it started, as the loop's clock; 0 for long ago."""
+        member = self._members.get(instance)
+        return 0 if member is None else member.started
+
     def adopt(self, settings: Settings) -> Settings:
         """Other settings, with their zones and kinds in this table's numbers: a name keeps its number.
 
@@ -93,11 +137,8 @@
             zone = _number(self._zones, settings.zones[zone])
         classes = [replace(cls, kind=_number(self._kinds, kinds[cls.kind]))
                    if 0 <= cls.kind < len(kinds) else cls for cls in settings.classes]
+        self._settings = settings
         self._pause = self._backoff(settings)
-        if self._kept is settings.list_on_request:
-            # The deployment has changed its way: keep the list open from now on, or leave that to the rules.
-            self._kept = False
-            self.keep(settings)
         return replace(settings, zone=zone, classes=classes)
 
     @property
@@ -117,36 +158,41 @@
     def load_known(self, known: Any) -> None:
         """Take a list that came otherwise than from discovery; raises ValueError if it is malformed."""
         self.tell(self._take(known, cached=True))
-        if self._kept:
+        if self._watch is not None:
             self._open()  # from this list's version: it may be older than what the watch has told
 
     # Calls to discovery
 
     def _backoff(self, settings: Settings) -> Backoff:
-        grace = max(1, settings.drain_grace)
-        return Backoff(max(1, grace // FIRST_PAUSE), max(1, grace // LONGEST_PAUSE), self._random)
-
-    def keep(self, settings: Settings) -> None:
-        """Keep a watch open from now on where the settings say that the list is pushed."""
-        if not settings.list_on_request and not self._kept:
-            self._kept = True
-            self._open()
+        if settings.list_on_request:
+            # Guards one discovery against all at once: the larger the fleet, the wider its calls are spread.
+            first = min(FIRST_PAUSE, settings.dispatchers * FIRST_SHARE)
+            longest = min(LONGEST_PAUSE, max(LEAST_LONGEST, settings.dispatchers * LONGEST_SHARE))
+        else:
+            grace = max(1, settings.drain_grace)
+            first, longest = grace // PUSHED_FIRST, grace // PUSHED_LONGEST
+        return Backoff(max(1, first), max(1, longest), self._random)
 
     def watch(self, on: bool) -> None:
-        """Ask for changes from now on, or cease; an earlier watch gives way. A kept one goes on as it is."""
-        if on and self._kept and self._watch is not None:
-            return
-        self._open(on)
+        """Keep a watch open from now on, or cease. One that is open, or is being opened, goes on as it is."""
+        if not on or self._watch is None:
+            self._open(on)
 
-    def _open(self, on: bool = True) -> None:
+    def _open(self, on: bool = True, start: int = 0) -> None:
         if self._watch is not None:
             self._watch.cancel()
             self._watch = None
         if on:
             # Kept before it runs: it may fail, and report, at once.
-            self._watch = Task(self._loop, self._watching(), "watch")
+            self._watch = Task(self._loop, self._watching(start), "watch")
             self._watch.start()
 
+    def begin(self) -> None:
+        """A process begins: open the watch, where one discovery serves all not all of them at once."""
+        s = self._settings
+        spread = min(START_PAUSE, s.dispatchers * START_SHARE) if s.list_on_request else 0
+        self._open(start=int(self._random.random() * spread))
+
     def move(self, discovery: tuple[str, int]) -> None:
         """Discovery is at another address now: take the whole list there, then watch it."""
         if discovery == self._discovery:
@@ -202,7 +248,9 @@
             return
         self.tell(news)
 
-    def _watching(self) -> Coroutine[None]:
+    def _watching(self, start: int) -> Coroutine[None]:
+        if start:
+            yield Wait(until=self._loop.now() + start)
         while True:
             opened = self._loop.now()
             try:
@@ -220,51 +268,47 @@
                     logger.info("name table: {}:{} failed: {}", *self._discovery, why)
                     yield Wait(until=self._loop.now() + int(self._random.random() * MOVE_PAUSE))
                     continue
-                if not self._kept:
-                    self._watch = None
-                    self._failed("watch", why)
-                    return
                 yield from self._resting(opened, why)
 
     def _resting(self, opened: int, why: str) -> Coroutine[None]:
-        """A kept watch has ended: the pause before it is opened anew."""
+        """The watch has ended: the pause before it is opened anew."""
         if not self._deaf:
-            # Guards the log: an agent that is down is told of once, and once more when it speaks again.
+            # Guards the log: a discovery that is down is told of once, and once more when it speaks again.
             self._deaf = True
             self._failed("watch", why)
         if self._loop.now() - opened >= self._pause.cap:
-            # Guards the drain rule: a watch that stood is opened anew at once, as the agent may have more to
-            # tell. One that breaks as soon as it is open is not, as it would be so again.
+            # Guards the drain rule: a watch that stood is opened anew at once, as there may be more to tell.
+            # One that breaks as soon as it is open is not, as it would be so again.
             self._pause.succeeded()
-            return
+            if not self._settings.list_on_request:
+                return
         yield Wait(until=self._loop.now() + self._pause.failed())
 
     def _following(self) -> Coroutine[None]:
         """Tell of changes until the watch breaks."""
         stream = yield from self._call(b"%s?watch=1&from=%d" % (PATH, self._version))
         try:
-            answer = yield from stream.answer_head(self._loop.now() + SILENCE)
+            answer = yield from stream.answer_head(self._loop.now() + FETCH_TIME)
             if answer.status != 200:
                 raise Broken(f"status {answer.status}")
             logger.bind(event="names.watching").info("name table: watching {}:{} from version {}",
                                                      *self._discovery, self._version)
-            rest = b""
+            words, heard = Words(), self._loop.now()
             while True:
-                # Guards against a discovery that went silent: no line for over 4 s is a broken watch.
-                event = yield from stream.event(self._loop.now() + SILENCE)
+                # Guards against a discovery that went silent, and one whose word never ends: each has to be
+                # whole so long after the one before.
+                event = yield from stream.event(heard + SILENCE)
                 if not isinstance(event, h11.Data):
                     raise Broken("the watch ended")
-                *lines, rest = (rest + bytes(event.data)).split(b"\n")
-                if len(rest) > LINE_LIMIT:
-                    raise Broken("a line is too long")
-                for line in lines:
-                    self._line(line)
+                for word in words.feed(bytes(event.data)):
+                    heard = self._loop.now()
+                    self._word(word)
         finally:
             stream.close()
 
-    def _line(self, line: bytes) -> None:
-        """One line of a watch; raises ValueError if it is malformed."""
-        data = json.loads(line) if line.strip() else None
+    def _word(self, word: bytes) -> None:
+        """One word of a watch, empty where nothing has changed; raises ValueError if it is malformed."""
+        data = json.loads(word) if word else None
         if data is not None and not self._older(data):
             self._news(self._take(data, cached=False))
         elif self._deaf:
@@ -310,7 +354,8 @@
                 member.active = member.listed = False
         for (entry, address), item in zip(read, data["members"], strict=True):
             self._members[entry.worker] = Member(
-                address, entry.state is WorkerState.READY, entry.state is not WorkerState.GONE, item)
+                address, entry.state is WorkerState.READY, entry.state is not WorkerState.GONE, entry.started,
+                item)
         self._version = version
         changes = ", ".join(f"{e.worker.decode()} {e.state.name.lower()}" for e, _ in read[:8])
         logger.bind(event="names.changed", version=version).info(
--- a/pulleyroute/service/assembly.py
+++ b/pulleyroute/service/assembly.py
@@ -254,10 +254,7 @@
             names.load_known({"revision": 0, "complete": True, "members": []})
             # At once: the decisions would ask within 2.5 s, spread for the sake of many that start together,
             # and until then there is nobody to take a job.
-            if settings.list_on_request:
-                names.watch(True)
-            else:
-                names.keep(settings)
+            names.watch(True)
         return running
 
     def _renew(self, running: Running, pool: Pool, context: ssl.SSLContext | None) -> None:
--- a/tests/net/test_name_table.py
+++ b/tests/net/test_name_table.py
@@ -50,7 +50,7 @@
         end.close()
 
 
-def test_a_watch_without_a_line_for_four_seconds_is_broken():
+def test_a_watch_without_a_line_for_three_seconds_is_broken():
     # Guards against a discovery that is cut off: its connection stays open and says nothing.
     scene = Scene()
     news = told(scene)
@@ -64,7 +64,7 @@
         peer.send(chunk(b"\n"))
     scene.loop.settle()
     assert not news
-    scene.loop.skip(5 * SECOND)
+    scene.loop.skip(3 * SECOND)
     assert [n.kind for n in news] == [ListKind.FAILED]
 
 
--- a/tests/net/test_pushed_list.py
+++ b/tests/net/test_pushed_list.py
@@ -23,7 +23,7 @@
         self.told = []
         tell = self.scene.names.tell
         self.scene.names.tell = lambda news: (self.told.append(news.kind), tell(news))
-        self.scene.names.keep(self.scene.settings)
+        self.scene.names.begin()
         self.loop, self.door = self.scene.loop, self.scene.discovery
 
     def opened(self, since):
@@ -48,9 +48,21 @@
     assert not agent.scene.names.active(b"s-0")
 
 
-def test_an_asked_list_is_left_to_the_decisions():
-    agent = Agent(info=INFO)
-    assert agent.door.untouched()
+def test_an_asked_list_is_watched_from_the_start_spread_by_the_fleets_size():
+    # Guards one discovery against all processes at once, and each process against the decisions' slow pace.
+    waits = []
+    for _ in range(2):
+        agent = Agent(info={**INFO, "balancers": 200})
+        agent.scene.names._random.seed(len(waits))
+        agent.scene.names.begin()
+        start = agent.loop.time
+        while agent.door.untouched_now():
+            agent.loop.skip(10 * MS)
+        waits.append(agent.loop.time - start)
+        assert waits[-1] <= 500 * MS
+    assert waits[0] != waits[1]
+    agent = Agent()
+    assert not agent.door.untouched()  # an agent serves one process alone: at once
 
 
 def test_a_watch_that_ends_is_opened_anew_at_once_from_where_it_stood():
@@ -85,7 +97,7 @@
     agent = Agent()
     agent.opened(1)
     agent.loop.settle()
-    agent.loop.skip(5 * SECOND)
+    agent.loop.skip(3 * SECOND)
     assert agent.told == [ListKind.FAILED] and not agent.scene.host._dispatcher.subscribed
     peer = agent.opened(1)  # a new call stands at the agent while it is silent
     peer.send(chunk(b"\n"))  # it speaks again, and nothing has changed
@@ -127,9 +139,10 @@
         agent.loop.skip(SECOND)
     assert agent.ready() == [b"s-1"]
     assert len([line for line in logged if "passed over" in line]) == 1
-    peer.send(chunk(b"\n"))
-    agent.loop.settle()
-    agent.loop.skip(3 * SECOND)
+    for _ in range(2):
+        peer.send(chunk(b"\n"))
+        agent.loop.settle()
+        agent.loop.skip(1500 * MS)
     peer.send(agent.line("s-0", "s-1", revision=6))
     whole = agent.door.accept()
     assert whole.message()[0].startswith(b"GET /api/targets HTTP")
@@ -150,8 +163,9 @@
     whole.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
     assert b"?watch=1&from=1 " in new.accept().message()[0]
     other = Agent(info=INFO)
-    other.scene.parts.adopt(agent.scene.settings)  # pushed from now on
+    other.loop.skip(10 * MS)
     peer = other.opened(1)
+    other.scene.parts.adopt(agent.scene.settings)  # pushed from now on
     peer.send(other.line("s-0", phase="leaving", complete=False, revision=2))
     other.loop.until(lambda: other.ready() == [b"s-1"])
 
@@ -188,6 +202,8 @@
     config["settings"] = {**PUSHED, "membership-mode": "on_request"}
     path.write_text(json.dumps(config))
     reload(parts)
-    assert not parts.names._kept and parts.names.member(b"s-0").entry["phase"] == "leaving"
+    assert parts.names.member(b"s-0").entry["phase"] == "leaving"
+    peer.send(chunk(json.dumps(scene.table("s-0", revision=3)).encode() + b"\n"))  # the watch goes on
+    scene.loop.until(lambda: parts.names.active(b"s-0"))
     parts.names.watch(False)
     parts.clients.listener.close()
