Ask all that allowed an attempt again at its first byte, and give up only what has heard it

Instances._deleting called given() also where the instance had not heard. Now, where no second copies are allowed, it tries on until the instance has heard, or a new connection carried the DELETE, or the attempt has ended.

The late attempts: without cancels nothing calls off an attempt whose connection is coming up, and _executing looked at the list alone. Now Host._may_begin is the one gate of both backs, in the turn that writes: the client is there (an end behind unread bytes shows in POLLRDHUP), time left, listed and of the same incarnation, no earlier copy out, the keyed window counted to the arrival. ServiceClient._awaiting listened to nothing above EARLY_BYTES; it now hears the end, and drops what lies before it.

Also shown and mended: a 202 whose body broke off or never ended counted as a reset and went out again beside the first; a second answer some milliseconds late was taken for the next request's; a kept connection to the process before the listed one was used.

--- a/pulleyroute/__main__.py
+++ b/pulleyroute/__main__.py
@@ -125,7 +125,8 @@
     names = NameTable(loop, pool, config.discovery, config.settings, epoch, config.seed + 1)
     figures = Figures()
     budget = budget_of(config)
-    instances = Instances(loop, pool, names, config.settings, int(budget * INSTANCE_SHARE), figures)
+    instances = Instances(loop, pool, names, config.settings, int(budget * INSTANCE_SHARE), figures,
+                          config.seed + 2)
     host = Host(loop, config.settings, config.seed, names, instances)
     if config.known is not None:
         try:
--- a/pulleyroute/grpc/back.py
+++ b/pulleyroute/grpc/back.py
@@ -19,7 +19,7 @@
 from pulleyroute.net.host import Host
 from pulleyroute.net.http import Broken, Crowded, Headers, Late, dial
 from pulleyroute.net.http2 import Code, Http2, Limits
-from pulleyroute.net.instance import Ended, Execution, Probed, Rejected
+from pulleyroute.net.instance import Ended, Execution, Gate, Probed, Rejected
 from pulleyroute.net.loop import Coroutine, Loop, Task, Wait
 from pulleyroute.net.name_table import NameTable
 from pulleyroute.net.tls import Tls
@@ -55,6 +55,7 @@
         self._sites: dict[WorkerId, Site] = {}
         self._upstreams: dict[Execution, Upstream] = {}
         self.ended: Ended = lambda execution, outcome, report: None
+        self.gate: Gate = lambda execution: True
         self.rejected: Rejected = lambda execution: None
         self.probed: Probed = lambda instance, outcome, took, report: None
         self._sweeping = False
@@ -89,10 +90,8 @@
 
     def _open(self, connection: Http2, upstream: Upstream) -> None:
         execution, call = upstream.execution, upstream.call
-        if not self._names.active(execution.instance):
-            # Guards the drain rule: the instance left the table while the connection came up.
+        if not self.gate(execution):  # what allowed it may have passed while the connection came up
             self._let_go(execution)
-            self.ended(execution, Outcome.MOOT, None)
             return
         left = execution.timeout_at - self._loop.now()
         headers = request_headers(call.head, b"https" if self.context is not None else b"http", left,
--- a/pulleyroute/net/host.py
+++ b/pulleyroute/net/host.py
@@ -18,7 +18,7 @@
 from pulleyroute.interface import Effect, JobClass, Outcome, Scope, Settings, WorkerId
 from pulleyroute.net import log
 from pulleyroute.net.http import Headers
-from pulleyroute.net.instance import Ended, Execution, Probed, Rejected
+from pulleyroute.net.instance import Ended, Execution, Gate, Probed, Rejected
 from pulleyroute.net.loop import Loop, Timer
 from pulleyroute.net.name_table import NameTable
 from pulleyroute.rules import PROVEN_NOT_RUN, Dispatcher
@@ -27,6 +27,8 @@
 # client time to come again for nothing.
 MARGIN = 25_000
 MARGIN_SHARE = 8  # and never earlier than this part of its time
+# Of a keyed class's window, for a repeat's way to its instance: the slack that the protocol gives each limit.
+ON_THE_WAY = 50_000
 GUARD = 20_000  # after a job's own deadline the host answers whatever the module says
 
 
@@ -68,6 +70,7 @@
     hint: int | None = None  # the client's guess of its work, in microseconds
     answer_by: int | None = None  # the clock's time, where this process will not be there for longer
     call: object = None  # what a front that streams binds to it; for its own back alone
+    gone: Callable[[], bool] | None = None  # asks whether its client has gone, where the front can tell
 
 
 class State(Enum):
@@ -100,9 +103,10 @@
 
 
 class Back(Protocol):
-    """The instances' side of one protocol. `Host` sets the three callbacks before it posts anything."""
+    """The instances' side of one protocol. `Host` sets the four callbacks before it posts anything."""
 
     ended: Ended
+    gate: Gate
     rejected: Rejected
     probed: Probed
 
@@ -167,6 +171,7 @@
         self.retired = False  # no request comes any more: with the last one its timers end
         names.tell = self.post
         instances.ended = self.settle
+        instances.gate = self._may_begin
         instances.rejected = self._reject
         instances.probed = self._probed
         self._doers: dict[type, Callable[..., None]] = {
@@ -503,9 +508,44 @@
             txn=request.txn, index=len(job.executions), instance=instance, method=request.method,
             target=request.target, headers=request.headers, body=request.body, sent=sent,
             timeout_at=timeout_at, repeatable=effect is Effect.SAFE, call=request.call,
-            unsafe=effect is Effect.UNSAFE,
+            unsafe=effect is Effect.UNSAFE, incarnation=self._names.incarnation(instance),
         )
 
+    def _may_begin(self, execution: Execution) -> bool:
+        """The one gate before an execution's first byte; what it stops never ran and is settled here.
+
+        Between the decision and the first byte lie a queue, a connect that may take seconds, a busy loop: all
+        that allowed it then is asked again, in the turn that writes.
+        """
+        job = self._by_txn.get(execution.txn)
+        if job is None or execution.over or execution.stopping:
+            return False
+        if not job.answered and job.request.gone is not None and job.request.gone():
+            # Guards against work for nobody: the client's end may stand unread behind other bytes.
+            self.abandon(job)
+        if job.answered or not self._allowed(job, execution):
+            self.settle(execution, Outcome.MOOT, None)
+            return False
+        return True
+
+    def _allowed(self, job: Job, execution: Execution) -> bool:
+        now, instance = self._loop.now(), execution.instance
+        if now >= execution.timeout_at:
+            return False
+        if not self._names.active(instance) or self._names.incarnation(instance) != execution.incarnation:
+            # Guards the drain rule, and an instance that has started anew: it is cold now, and what the
+            # decisions counted for it was another's.
+            return False
+        others = [e for e in job.executions if e is not execution and e.outcome not in PROVEN_NOT_RUN]
+        if not self._settings.second_copies and any(not e.over for e in others):
+            return False
+        if not others or job.cls.effect is Effect.SAFE:
+            return True
+        # Guards what must not run twice; and what carries a key, whose repeat has to come to the instances
+        # before they forget the first.
+        return (job.cls.effect is Effect.KEYED
+                and now + ON_THE_WAY < min(e.sent for e in others) + job.cls.repeat_window)
+
     def _arm(self, execution: Execution) -> None:
         execution.timer = self._loop.call_at(execution.timeout_at, lambda: self._time_out(execution))
 
--- a/pulleyroute/net/http.py
+++ b/pulleyroute/net/http.py
@@ -5,7 +5,9 @@
 import contextlib
 import os
 import re
+import select
 import socket
+from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
@@ -78,6 +80,7 @@
         self._h11 = h11.Connection(h11.SERVER if server else h11.CLIENT, max_incomplete_event_size=HEAD_LIMIT)
         self.closed = False
         self.fresh = True  # not a byte of the next message has come
+        self.skipped = False  # bytes have been dropped: where the next message begins is not known
         self._head_only = False  # the request was HEAD: its answer has no body
         self._ledger = ledger
         self._claimed = 0  # bytes read here that count in the ledger
@@ -111,6 +114,17 @@
                 raise Broken("read after the end") from None
             return count
 
+    def skip(self) -> int | None:
+        """Read what is there and drop it, as `pull` reads it; nothing more can be made of the connection."""
+        self.skipped = True
+        with self._pool.borrow() as buffer:
+            try:
+                return self._sock.recv_into(buffer)
+            except (BlockingIOError, InterruptedError):
+                return None
+            except OSError as exc:
+                raise Broken(str(exc)) from None
+
     def _claim(self, count: int) -> None:
         self._claimed += count
         if self._ledger is not None:
@@ -126,6 +140,12 @@
             return True
         return True
 
+    def gone(self) -> bool:
+        """Whether the peer has ended or broken the connection, also where bytes before that are unread."""
+        poll = select.poll()
+        poll.register(self._sock, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def farewell(self, data: bytes) -> None:
         """Send a last word, as far as it goes without waiting."""
         with contextlib.suppress(OSError):
@@ -291,9 +311,14 @@
             if not isinstance(event, h11.InformationalResponse):
                 raise Broken("the connection ended before the answer")
 
-    def response(self, until: int | None, limit: int = BODY_LIMIT) -> Coroutine[Message]:
-        """The whole answer; then the connection is ready for another request, or `reusable` says no."""
+    def response(self, until: int | None, limit: int = BODY_LIMIT,
+                 begun: Callable[[int], None] = lambda status: None) -> Coroutine[Message]:
+        """The whole answer; then the connection is ready for another request, or `reusable` says no.
+
+        `begun` hears its status as soon as its head has come.
+        """
         message = yield from self.answer_head(until)
+        begun(message.status)
         message.body = yield from self.body(until, limit)
         if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
             self._h11.start_next_cycle()
--- a/pulleyroute/net/instance.py
+++ b/pulleyroute/net/instance.py
@@ -6,6 +6,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from random import Random
 from typing import Protocol
 
 import h11
@@ -13,10 +14,11 @@
 
 from pulleyroute.interface import LoadReport, Outcome, ReportSource, Settings, WorkerId
 from pulleyroute.net import log
+from pulleyroute.net.backoff import Backoff
 from pulleyroute.net.buffers import BufferPool
 from pulleyroute.net.figures import Figures
 from pulleyroute.net.http import Broken, Crowded, Headers, Late, Malformed, Message, Stream, connect
-from pulleyroute.net.loop import Coroutine, Loop, Task, Timer
+from pulleyroute.net.loop import Coroutine, Loop, Task, Timer, Wait
 from pulleyroute.net.name_table import NameTable
 
 PROBE_TIME = 500_000
@@ -25,6 +27,11 @@
 CONNECT_TIME = 1_000_000  # where the settings name no limit
 MAY_PASS = (408, 429)  # of the answers that blame a request, those that a repeat may not get
 DISTRUST = 10_000_000  # how long kept ones carry only what may be repeated freely after one has broken
+# What may not be repeated goes out on a kept connection only once that has been silent for so long. Guards
+# against a second answer that comes late and would be taken for the next request's. It is the slack that the
+# protocol gives each limit.
+SILENT_FOR = 50_000
+FIRST_PAUSE, LONGEST_PAUSE = 100_000, 1_000_000  # between two tries to tell an instance that it is given up
 IDLE_SHARE = 0.7  # of the time after which the instance's machine may close an idle connection
 
 # A load report's values have other names on sockets than in the settings.
@@ -55,6 +62,7 @@
     outcome: Outcome | None = None
     timer: Timer | None = None
     call: object = None  # what a front that streams has bound to the request
+    incarnation: int = 0  # of the instance that the decisions chose
     written: bool = field(default=False, init=False)  # the last byte is with the kernel
     kept: bool = field(default=False, init=False)  # sent on a connection kept from before
     accepted: bool = field(default=False, init=False)  # the instance answered 202
@@ -68,6 +76,12 @@
     def __call__(self, execution: Execution, outcome: Outcome, report: LoadReport | None, /) -> None: ...
 
 
+class Gate(Protocol):
+    """Whether an execution may begin now; what may not is settled by whoever says so."""
+
+    def __call__(self, execution: Execution, /) -> bool: ...
+
+
 class Rejected(Protocol):
     """An instance can't use the request."""
 
@@ -81,24 +95,35 @@
                  /) -> None: ...
 
 
+@dataclass(slots=True)
+class Kept:
+    """A connection between two requests."""
+
+    since: int
+    stream: Stream
+    incarnation: int  # of the instance that it leads to
+
+
 class Instances:
     """Owns every connection to an instance."""
 
     def __init__(
         self, loop: Loop, pool: BufferPool, names: NameTable, settings: Settings, most: int,
-        figures: Figures | None = None,
+        figures: Figures | None = None, seed: int = 0,
     ) -> None:
         self._loop = loop
         self._pool = pool
         self._names = names
+        self._random = Random(seed)
         self.adopt(settings)
         self._most = most  # connections at once
         self._figures = figures or Figures()
         self._count = 0
-        self._idle: dict[WorkerId, list[tuple[int, Stream]]] = {}
+        self._idle: dict[WorkerId, list[Kept]] = {}
         self._sweeping = False
         self._distrust_until = 0  # a kept connection broke under a request not long ago
         self.ended: Ended = lambda execution, outcome, report: None
+        self.gate: Gate = lambda execution: True
         self.rejected: Rejected = lambda execution: None
         self.probed: Probed = lambda instance, outcome, took, report: None
 
@@ -118,15 +143,20 @@
 
     # Connections
 
-    def _kept(self, instance: WorkerId) -> Stream | None:
-        """A kept connection that is still there, as far as can be seen."""
-        kept = self._idle.get(instance, [])
-        while kept:
-            since, stream = kept.pop()
-            # Guards against the instance's time limit: a request on a connection that it closes is a reset.
-            if self._loop.now() - since < self._idle_time and stream.reusable():
-                return stream
-            self._drop(stream)
+    def _kept(self, instance: WorkerId, silent_for: int = 0) -> Stream | None:
+        """A kept connection that is still there, as far as can be seen, and has been silent for so long."""
+        idle = self._idle.get(instance, [])
+        for kept in reversed(idle[:]):
+            silent = self._loop.now() - kept.since
+            if silent < silent_for:
+                continue
+            idle.remove(kept)
+            # Guards against the instance's time limit: a request on a connection that it closes is a reset;
+            # and against a connection to a process before the one that is listed.
+            if (silent < self._idle_time and kept.incarnation == self._names.incarnation(instance)
+                    and kept.stream.reusable()):
+                return kept.stream
+            self._drop(kept.stream)
         return None
 
     def _broke(self, instance: WorkerId) -> None:
@@ -153,11 +183,12 @@
             self._count -= 1
             raise
 
-    def _keep(self, instance: WorkerId, stream: Stream) -> None:
+    def _keep(self, instance: WorkerId, stream: Stream, incarnation: int) -> None:
+        """Keep a connection for later; `incarnation` is what was listed when it was opened, or found good."""
         if not stream.reusable():
             self._drop(stream)
             return
-        self._idle.setdefault(instance, []).append((self._loop.now(), stream))
+        self._idle.setdefault(instance, []).append(Kept(self._loop.now(), stream, incarnation))
         if not self._sweeping:
             self._sweeping = True
             self._loop.call_at(self._loop.now() + self._idle_time, self._sweep)
@@ -168,24 +199,24 @@
             stream.close()
 
     def _drop_oldest(self) -> None:
-        kept = min((k for k in self._idle.values() if k), key=lambda k: k[0][0], default=None)
+        kept = min((k for k in self._idle.values() if k), key=lambda k: k[0].since, default=None)
         if kept:
-            self._drop(kept.pop(0)[1])
+            self._drop(kept.pop(0).stream)
 
     def _sweep(self) -> None:
         """Close what has stood idle long enough."""
         old = self._loop.now() - self._idle_time
         for kept in self._idle.values():
-            while kept and kept[0][0] <= old:
-                self._drop(kept.pop(0)[1])
-        first = min((kept[0][0] for kept in self._idle.values() if kept), default=None)
+            while kept and kept[0].since <= old:
+                self._drop(kept.pop(0).stream)
+        first = min((kept[0].since for kept in self._idle.values() if kept), default=None)
         self._sweeping = first is not None
         if first is not None:
             self._loop.call_at(first + self._idle_time, self._sweep)
 
     def close_idle(self, instance: WorkerId) -> None:
-        for _, stream in self._idle.pop(instance, []):
-            self._drop(stream)
+        for kept in self._idle.pop(instance, []):
+            self._drop(kept.stream)
 
     def _frame(self, stream: Stream, instance: WorkerId, method: bytes, target: bytes,
                headers: Headers, body: bytes = b"") -> bytes:
@@ -210,15 +241,13 @@
                 if execution.repeatable or self._loop.now() >= self._distrust_until:
                     # Guards what can't be sent again: a kept connection may be gone and not show it, as where
                     # an instance closes idle ones early.
-                    stream = self._kept(execution.instance)
+                    stream = self._kept(execution.instance, 0 if execution.repeatable else SILENT_FOR)
                 execution.kept = stream is not None
                 if stream is None:
                     stream = yield from self._open(execution.instance)
-                if not self._names.active(execution.instance):
-                    # Guards the drain rule: the instance left the table while the connection came up.
-                    self._keep(execution.instance, stream)
+                if not self.gate(execution):  # what allowed it may have passed while the connection came up
+                    self._keep(execution.instance, stream, execution.incarnation)
                     stream = None
-                    self.ended(execution, Outcome.MOOT, None)
                     return
                 left = max(1, (execution.timeout_at - self._loop.now()) // 1000)
                 headers = [*execution.headers, (b"X-Txn", execution.txn.encode()),
@@ -240,8 +269,13 @@
             self._figures.sends += 1
             try:
                 # No resending from here on, whatever the connection does: the request may have run.
-                answer = yield from stream.response(execution.timeout_at + ANSWER_GRACE)
+                answer = yield from stream.response(
+                    execution.timeout_at + ANSWER_GRACE, begun=lambda status: self._begun(execution, status))
             except (Broken, Late, Malformed) as exc:
+                if execution.accepted:
+                    # Guards against a second copy: with the head of its 202 the instance has taken the job,
+                    # and calls back, however the rest of that answer ends.
+                    return
                 if not execution.over:
                     logger.bind(event="instance.reset", instance=execution.instance.decode()).warning(
                         "instance {}: reset: {}", execution.instance.decode(), exc)
@@ -249,17 +283,19 @@
                     self._broke(execution.instance)
                 self.ended(execution, Outcome.RESET, None)
                 return
-            self._keep(execution.instance, stream)
+            self._keep(execution.instance, stream, execution.incarnation)
             stream = None
             self._judge(execution, answer)
         finally:
             if stream is not None:
                 self._drop(stream)
 
+    def _begun(self, execution: Execution, status: int) -> None:
+        execution.accepted = status == 202
+
     def _judge(self, execution: Execution, answer: Message) -> None:
         """What an instance's answer means for its execution."""
-        if answer.status == 202:
-            execution.accepted = True
+        if execution.accepted:
             return
         marked = (b"x-turned-away", b"1") in answer.headers
         report = None
@@ -281,36 +317,48 @@
     def give_up(self, execution: Execution, given: Callable[[], None]) -> None:
         """Stop an execution at its instance: close before its answer, DELETE after.
 
-        `given` is called once the instance has heard of it, or can't be reached.
+        `given` is called once the instance has heard of it; where second copies are allowed, or the execution
+        has ended meanwhile, also if it can't be reached.
         """
         if execution.task is not None and not execution.task.done:
             execution.task.cancel()
-        elif execution.accepted:
-            self._loop.spawn(self._deleting(execution.instance, execution.txn, given), "give-up")
+        if execution.accepted:
+            self._loop.spawn(self._deleting(execution, given), "give-up")
             return
         given()
 
-    def _deleting(self, instance: WorkerId, txn: str, given: Callable[[], None]) -> Coroutine[None]:
+    def _deleting(self, execution: Execution, given: Callable[[], None]) -> Coroutine[None]:
         limit = self._settings.connect_timeout or GIVE_UP_TIME
-        target = b"/jobs/" + txn.encode()
-        outcome, _ = yield from self._asking(instance, b"DELETE", target, limit)
-        if outcome is Outcome.RESET:  # a kept connection that was gone: the instance has not heard
-            yield from self._asking(instance, b"DELETE", target, limit)
+        target = b"/jobs/" + execution.txn.encode()
+        pause = Backoff(FIRST_PAUSE, LONGEST_PAUSE, self._random)
+        outcome, _ = yield from self._asking(execution.instance, b"DELETE", target, limit)
+        while outcome is not Outcome.OK:
+            # A kept connection may be gone or silent, and what was written to it lost. One that has just come
+            # up surely carried it, even where the instance does not answer.
+            outcome, _ = yield from self._asking(execution.instance, b"DELETE", target, limit, fresh=True)
+            if outcome is Outcome.TIMEOUT or self._settings.second_copies or execution.over:
+                break
+            # Guards against a second copy where none is allowed: an instance that can't be reached has not
+            # heard, and works on. The execution ends with its word, or with its time.
+            if outcome is not Outcome.OK:
+                yield Wait(until=self._loop.now() + pause.failed())
         given()
 
     def _asking(
-        self, instance: WorkerId, method: bytes, target: bytes, limit: int
+        self, instance: WorkerId, method: bytes, target: bytes, limit: int, fresh: bool = False
     ) -> Coroutine[tuple[Outcome, Message | None]]:
-        """A small request with its answer."""
+        """A small request with its answer; with `fresh` on a new connection."""
         stream = None
-        until = self._loop.now() + limit
+        until, incarnation = self._loop.now() + limit, self._names.incarnation(instance)
         written = False
         try:
-            stream = self._kept(instance) or (yield from self._open(instance))
+            stream = None if fresh else self._kept(instance)
+            if stream is None:
+                stream = yield from self._open(instance)
             yield from stream.send(self._frame(stream, instance, method, target, []), until)
             written = True
             answer = yield from stream.response(until)
-            self._keep(instance, stream)
+            self._keep(instance, stream, incarnation)
             stream = None
             return Outcome.OK, answer
         except Crowded:
--- a/pulleyroute/net/loop.py
+++ b/pulleyroute/net/loop.py
@@ -21,6 +21,7 @@
 
 READABLE = select.EPOLLIN
 WRITABLE = select.EPOLLOUT
+ENDED = select.EPOLLRDHUP  # by the peer, whether or not all bytes before that are read
 EVENTS_A_TURN = 256
 COMPACT_FROM = 256  # a heap this long is cleared of its cancelled timers once they are most of it
 
--- a/pulleyroute/net/service_client.py
+++ b/pulleyroute/net/service_client.py
@@ -22,7 +22,7 @@
 from pulleyroute.net.http import Broken, Headers, Late, Malformed, Message, Stream
 from pulleyroute.net.instance import read_report
 from pulleyroute.net.listener import Listener
-from pulleyroute.net.loop import READABLE, Coroutine, Loop, Task, Wait, Woken
+from pulleyroute.net.loop import ENDED, READABLE, Coroutine, Loop, Task, Wait, Woken
 
 READY = b"/-/ready"
 CALLBACK = b"/callback"
@@ -38,6 +38,7 @@
 SHED_LOOKS = 16  # connections looked at for one to shed
 WRITE_TIME = 10_000_000
 EARLY_BYTES = 64 * 1024  # read ahead of an answer at most
+SKIP_PAUSE = 2_000  # between two reads of what is beyond that
 MOVE_PAUSE = 10_000  # between two looks at what may move to another process by now
 MOST_MISSED = 4  # that do not go before the rest waits too
 HELD = 2  # requests held for each that may wait: executions go on for a while after their client left
@@ -170,7 +171,7 @@
         missed = 0
         for connection in list(self._connections):
             job, stream = connection.job, connection.stream
-            if job is not None and self._host.movable(job):
+            if job is not None and not stream.skipped and self._host.movable(job):
                 body = job.request.body
                 values = {"known": True, "job": self._host.pack(job), "pending": stream.pending()}
             elif connection.line in (self._silent, self._idle) and stream.fresh:
@@ -207,6 +208,7 @@
             stream.resume(values["pending"], len(body))
             connection.working = True
             connection.job = self._host.take_over(values["job"], body, self._replying(connection), shift)
+            connection.job.request.gone = stream.gone
             first = self._awaiting(connection, connection.job)
         self._begin(connection, first)
 
@@ -423,6 +425,7 @@
     def _working(self, connection: Connection, request: Request) -> Coroutine[bool]:
         """Hand a request to the host and wait for its answer."""
         connection.answer = None
+        request.gone = connection.stream.gone
         connection.job = self._host.submit(request, self._replying(connection))
         return (yield from self._awaiting(connection, connection.job))
 
@@ -436,18 +439,27 @@
     def _awaiting(self, connection: Connection, job: Job) -> Coroutine[bool]:
         """Wait for a job's answer, or for the client to go."""
         stream = connection.stream
+        skip_from = 0
         try:
             while (answer := connection.answer) is None:
-                if stream.trailing() > EARLY_BYTES:
-                    yield Wait()  # guards against a client that sends on and on: no more is read for now
+                early = stream.trailing() <= EARLY_BYTES
+                if early or self._loop.now() >= skip_from:
+                    woken = yield Wait(stream.fileno(), READABLE | ENDED)
+                else:
+                    woken = yield Wait(stream.fileno(), ENDED, skip_from)
+                if woken is Woken.NUDGED:
                     continue
-                if (yield Wait(stream.fileno(), READABLE)) is Woken.READY and stream.pull() == 0:
+                # Guards against a client that sends on and on: what it sends then is dropped, bit by bit. And
+                # against one that sends much and goes: its end is heard though it stands behind all that.
+                if stream.gone() or (stream.pull() if early else stream.skip()) == 0:
                     raise Broken("the client is gone")
+                if not early:
+                    skip_from = self._loop.now() + SKIP_PAUSE
         finally:
             connection.job = None
             self._host.abandon(job)  # changes nothing once it is answered, or held elsewhere
         status, body, headers = _FORMS[answer.ending](answer)
-        going = yield from self._tell(stream, status, body, headers)
+        going = yield from self._tell(stream, status, body, headers, close=stream.skipped)
         # Guards the truth of the count: a job ends with the last byte of its answer, and not before.
         self._figures.ended(job.cls.name, by_status(status))
         return going
