Hear a 202 that waits unread before a close gives the attempt up; heed drains in older lists

Instances.give_up closed the connection of an attempt without a 202; one that stood unread in the socket at that moment means that the instance has the job, and a close gives up nothing: the next attempt was a second copy. Now the task takes what is there first, and a DELETE follows.

Who leaves by such a list, of the process that is listed, leaves now; nobody comes back by it.

--- a/pulleyroute/net/instance.py
+++ b/pulleyroute/net/instance.py
@@ -321,6 +321,9 @@
         has ended meanwhile, also if it can't be reached.
         """
         if execution.task is not None and not execution.task.done:
+            # Guards against a second copy: a close gives up only what has no 202 yet, and that may have come
+            # and wait to be read.
+            execution.task.hear()
             execution.task.cancel()
         if execution.accepted:
             self._loop.spawn(self._deleting(execution, given), "give-up")
--- a/pulleyroute/net/loop.py
+++ b/pulleyroute/net/loop.py
@@ -90,6 +90,11 @@
         else:
             self._queue()
 
+    def hear(self) -> None:
+        """If it waits for a descriptor, let it take what is there now, before the loop's next turn."""
+        if not self.done and self.wait is not None and self.wait.fd >= 0:
+            self.step(Woken.READY)
+
     def cancel(self) -> None:
         """Close the coroutine where it stands; its `finally` blocks run."""
         if self.done:
--- a/pulleyroute/net/name_table.py
+++ b/pulleyroute/net/name_table.py
@@ -309,8 +309,8 @@
     def _word(self, word: bytes) -> None:
         """One word of a watch, empty where nothing has changed; raises ValueError if it is malformed."""
         data = json.loads(word) if word else None
-        if data is not None and not self._older(data):
-            self._news(self._take(data, cached=False))
+        if data is not None:
+            self._news(self._take(self._still_true(data) if self._older(data) else data, cached=False))
         elif self._deaf:
             self._news(WorkerList(self._version, ListKind.DELTA, []))  # nothing has changed meanwhile
 
@@ -338,6 +338,20 @@
             raise Broken("versions have begun anew")
         return True
 
+    def _still_true(self, data: Any) -> Any:
+        """What an older list tells that holds whatever came after it: who leaves, of the listed processes.
+
+        Guards the drain rule: what is written counts as told, and versions that began anew look older.
+        """
+        def holds(item: Any) -> bool:
+            entry, _ = self._entry(item)
+            return entry.state is not WorkerState.READY and entry.started == self.incarnation(entry.worker)
+
+        members = data.get("members")
+        if isinstance(members, list):
+            members = [item for item in members if holds(item)]
+        return {"revision": self._version, "complete": False, "members": members}
+
     # The list
 
     def _take(self, data: Any, cached: bool) -> WorkerList:
--- a/tests/net/test_pushed_list.py
+++ b/tests/net/test_pushed_list.py
@@ -152,6 +152,18 @@
     assert agent.ready() == [b"s-0", b"s-1"]
 
 
+def test_who_leaves_by_an_older_list_leaves_and_nobody_comes_back_by_it():
+    # Guards the drain rule: what is written counts as told, also where versions have begun anew.
+    agent = Agent()
+    table = agent.scene.table("s-0", "s-1", revision=8)
+    table["members"][1]["up_since_ms"] = 5
+    agent.opened(1).send(chunk(json.dumps(table).encode() + b"\n") +
+                         agent.line("s-0", "s-1", phase="leaving", revision=2))
+    agent.loop.until(lambda: agent.ready() == [b"s-1"])  # which has started since
+    agent.loop.settle()
+    assert agent.scene.names.version == 8 and agent.ready() == [b"s-1"]
+
+
 def test_a_move_and_a_change_of_the_way_keep_the_list_open():
     agent = Agent()
     agent.opened(1)
--- a/tests/net/test_rare_moments.py
+++ b/tests/net/test_rare_moments.py
@@ -154,6 +154,22 @@
     assert client.message()[1] == b"r"
 
 
+@pytest.mark.parametrize(("answer", "elsewhere"), [(TAKEN, False), (NACK, True), (b"", True)])
+def test_what_an_instance_has_said_already_is_heard_before_it_is_given_up(answer, elsewhere):
+    # Guards against a second copy: a 202 stands unread at the moment of a close, which then gives up nothing.
+    scene = Scene(instances=2, **ALONE)
+    client = scene.ask()
+    name, runner = scene.take("t1", accept=False)
+    runner.send(answer)
+    scene.host._carry_out([Cancel(1, 0)])  # with no turn of the loop between
+    scene.loop.settle()
+    scene.loop.skip(300 * MS)
+    (other,) = (r for n, r in scene.runners.items() if n != name)
+    assert other.untouched_now() is not elsewhere and not client.pull()
+    if not elsewhere:
+        assert runner.message()[0].startswith(b"DELETE /jobs/t1 ")
+
+
 @pytest.mark.parametrize("way", ["breaks off", "never ends"])
 def test_with_the_head_of_a_202_the_job_is_taken_however_that_answer_ends(way):
     # Guards against a second copy: the instance works on it, and calls back.
