--- a/pulleyroute/net/name_table.py
+++ b/pulleyroute/net/name_table.py
@@ -81,7 +81,7 @@
             bare = _TEXT.sub(b"", line)
             self._depth += bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
             self._lines.append(line)
-            self._size += len(line)
+            self._size += len(line) + 1  # an empty one takes room too
             if self._depth <= 0 or self._size > LINE_LIMIT:
                 word, self._lines, self._depth, self._size = b"\n".join(self._lines).strip(), [], 0, 0
                 yield word
--- a/tests/net/test_list_age.py
+++ b/tests/net/test_list_age.py
@@ -6,6 +6,7 @@
 
 from pulleyroute.interface import ListKind
 from pulleyroute.net import name_table
+from pulleyroute.net.http import Broken
 from pulleyroute.net.name_table import Words
 from tests.net.scene import INFO, MS, SECOND, Scene
 from tests.net.test_name_table import CHUNKS, chunk
@@ -77,6 +78,16 @@
     agent.loop.until(lambda: agent.ready() == [b"s-1"])
 
 
+def test_an_object_that_never_closes_holds_a_bounded_few_lines():
+    # Guards the memory against a discovery that floods: the time until a word has to be whole is long for that.
+    words = Words()
+    assert not list(words.feed(b"{\n"))
+    with pytest.raises((Broken, ValueError)):
+        for _ in range(4 * 1024):
+            for word in words.feed(b"\n" * 1024):
+                json.loads(word)
+
+
 def test_lists_may_come_indented_and_in_any_pieces():
     agent = Agent()
     peer = agent.opened(1)
