--- a/tests/net/test_list_age.py
+++ b/tests/net/test_list_age.py
@@ -79,7 +79,7 @@
 
 
 def test_an_object_that_never_closes_holds_a_bounded_few_lines():
-    # Guards the memory against a discovery that floods: the time until a word has to be whole is long for that.
+    # Guards the memory against a discovery that floods: until a word has to be whole, much can come.
     words = Words()
     assert not list(words.feed(b"{\n"))
     with pytest.raises((Broken, ValueError)):
