--- a/benchmarks/grpc_faults.py
+++ b/benchmarks/grpc_faults.py
@@ -21,12 +21,12 @@
 
 
 def table(outcomes: list[Outcome]) -> list[str]:
-    lines = ["| seed | calls | executions | rules broken | OK | other statuses |",
+    lines = ["| seed | calls | attempts | rules broken | OK | other statuses |",
              "| --- | --- | --- | --- | --- | --- |"]
     for each in outcomes:
         others = ", ".join(f"{Status(code).name} {count}" for code,
                            count in sorted(each.statuses.items()) if code > 0)
-        lines.append(f"| {each.seed} | {each.calls} | {each.executions} | {len(each.broken)} "
+        lines.append(f"| {each.seed} | {each.calls} | {each.attempts} | {len(each.broken)} "
                      f"| {each.statuses[0]} | {others} |")
     return lines
 
@@ -54,7 +54,7 @@
             f"Run on: {machine()}.",
             "Virtual clock, real sockets; four boxes that crash, drain and return; half of the calls must",
             "never run twice. A judge that knows what boxes and clients saw finds the broken rules.", "",
-            *table(outcomes), "", "What the boxes did with the executions:", "", "| ending | executions |",
+            *table(outcomes), "", "What the boxes did with the attempts:", "", "| ending | attempts |",
             "| --- | --- |", acts, ""]))
     return 1 if any(each.broken for each in outcomes) else 0
 
--- a/pulleyroute/cli/demo.py
+++ b/pulleyroute/cli/demo.py
@@ -40,7 +40,7 @@
     rows = [
         (name, row.asked, *(row.endings[each] for each in ("served", "refused", "failed")),
          row.took.get_value_at_percentile(50) / 1000, row.took.get_value_at_percentile(99) / 1000,
-         result.executions[name])
+         result.attempts[name])
         for name, row in result.rows.items()
     ]
     names = ("kind", "asked", "served", "refused", "failed", "p50 ms", "p99 ms", "runs")
--- a/pulleyroute/emulator/book.py
+++ b/pulleyroute/emulator/book.py
@@ -9,7 +9,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Run:
-    """One execution that a box began. `at` in seconds of the monotonic clock."""
+    """One attempt that a box began. `at` in seconds of the monotonic clock."""
 
     request: str
     kind: str
--- a/pulleyroute/emulator/faulty.py
+++ b/pulleyroute/emulator/faulty.py
@@ -1,4 +1,4 @@
-"""gRPC boxes that misbehave as a script says: one `Act` an execution, drawn from a seed by whoever runs
+"""gRPC boxes that misbehave as a script says: one `Act` an attempt, drawn from a seed by whoever runs
 them."""
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Act:
-    """What a box does with one execution. `never_ran`: it proves so by how it ends. Times in microseconds.
+    """What a box does with one attempt. `never_ran`: it proves so by how it ends. Times in microseconds.
 
     `ending`: "status" (trailers), "only" (trailers-only), "nack", "reset", "refuse", "goaway", "cut",
     "silent". `messages` come before it; `code` is the status, or the HTTP/2 code of a reset.
@@ -41,7 +41,7 @@
 
 @dataclass(slots=True)
 class Taken:
-    """One execution as its box saw it."""
+    """One attempt as its box saw it."""
 
     request: str
     box: str
@@ -63,7 +63,7 @@
 
 @dataclass(slots=True)
 class FaultyBox:
-    """A listener with its connections; `script` says what to do with each execution."""
+    """A listener with its connections; `script` says what to do with each attempt."""
 
     loop: Loop
     name: str
@@ -120,10 +120,10 @@
         taken = Taken(request, self.name, self.script(request, attempts), self.loop.now(), attempts,
                       int(text[:-1]) * scale[text[-1:]])
         self.taken.append(taken)
-        return _Execution(self, stream, taken, ended)
+        return _Attempt(self, stream, taken, ended)
 
 
-class _Execution:
+class _Attempt:
     """Owns one stream and plays its act."""
 
     def __init__(self, box: FaultyBox, stream: Stream, taken: Taken, ended: bool) -> None:
@@ -196,7 +196,7 @@
     def _goaway(self) -> None:
         """This stream and what came after it were never looked at; what came before goes on."""
         connection, last = self._stream.connection, max(0, self._stream.id - 2)
-        for taken, stream in [(each._taken, each._stream) for each in _executions(connection) if
+        for taken, stream in [(each._taken, each._stream) for each in _attempts(connection) if
                               each._stream.id > last]:
             taken.told = taken.dropped = True
             connection.forget(stream)
@@ -204,8 +204,8 @@
             connection.inject(GoAwayFrame(0, last_stream_id=last, error_code=0).serialize())
 
 
-def _executions(connection: Http2) -> list[_Execution]:
-    return [stream.owner for stream in connection.streams if isinstance(stream.owner, _Execution)]
+def _attempts(connection: Http2) -> list[_Attempt]:
+    return [stream.owner for stream in connection.streams if isinstance(stream.owner, _Attempt)]
 
 
 def draw(rng: random.Random) -> Act:
--- a/pulleyroute/grpc/back.py
+++ b/pulleyroute/grpc/back.py
@@ -1,4 +1,4 @@
-"""Connections to gRPC instances: executions on their streams, giving them up, and what is known of their
+"""Connections to gRPC instances: attempts on their streams, giving them up, and what is known of their
 load."""
 
 from __future__ import annotations
@@ -19,7 +19,7 @@
 from pulleyroute.net.host import Host
 from pulleyroute.net.http import Broken, Crowded, Headers, Late, dial
 from pulleyroute.net.http2 import Code, Http2, Limits
-from pulleyroute.net.instance import Ended, Execution, Gate, Probed, Rejected
+from pulleyroute.net.instance import Attempt, Ended, Gate, Probed, Rejected
 from pulleyroute.net.loop import Coroutine, Loop, Task, Wait
 from pulleyroute.net.name_table import NameTable
 from pulleyroute.net.tls import Tls
@@ -36,14 +36,14 @@
     """One instance as seen from here."""
 
     connections: list[Http2] = field(default_factory=list)
-    waiting: dict[Execution, None] = field(default_factory=dict)
+    waiting: dict[Attempt, None] = field(default_factory=dict)
     connecting: Task | None = None
     doubted: bool = False  # the last connection did not come up
-    out: int = 0  # executions there
+    out: int = 0  # attempts there
 
 
 class Calls:
-    """Owns every connection to a pool's instances and the executions on them. A `host.Back`."""
+    """Owns every connection to a pool's instances and the attempts on them. A `host.Back`."""
 
     def __init__(self, loop: Loop, pool: BufferPool, names: NameTable, settings: Settings, limits: Limits,
                  slots: float = SLOTS, message_bytes: int = 0, context: ssl.SSLContext | None = None,
@@ -53,98 +53,98 @@
         self.limits, self.slots, self.message_bytes = limits, slots, message_bytes
         self.context, self.server_name = context, server_name
         self._sites: dict[WorkerId, Site] = {}
-        self._upstreams: dict[Execution, Upstream] = {}
-        self.ended: Ended = lambda execution, outcome, report: None
-        self.gate: Gate = lambda execution: True
-        self.rejected: Rejected = lambda execution: None
+        self._upstreams: dict[Attempt, Upstream] = {}
+        self.ended: Ended = lambda attempt, outcome, report: None
+        self.gate: Gate = lambda attempt: True
+        self.rejected: Rejected = lambda attempt: None
         self.probed: Probed = lambda instance, outcome, took, report: None
         self._sweeping = False
         self.host: Host | None = None  # set once it is made
 
     @property
     def open(self) -> int:
-        """Executions out."""
+        """Attempts out."""
         return len(self._upstreams)
 
-    # Executions
+    # Attempts
 
-    def execute(self, execution: Execution) -> None:
+    def attempt(self, attempt: Attempt) -> None:
         """Send a call out; its outcome is told to the host."""
-        call = execution.call
+        call = attempt.call
         assert isinstance(call, Call)
-        site = self._sites.setdefault(execution.instance, Site())
-        upstream = Upstream(call, execution, self._finished, self.message_bytes)
-        self._upstreams[execution] = upstream
+        site = self._sites.setdefault(attempt.instance, Site())
+        upstream = Upstream(call, attempt, self._finished, self.message_bytes)
+        self._upstreams[attempt] = upstream
         site.out += 1
         connection = next((c for c in site.connections if c.room and c.ready), None)
         if connection is not None:
             self._open(connection, upstream)
             return
         if len([c for c in site.connections if not c.draining]) >= CONNECTIONS:
-            execution.nacked = True  # it was not sent: the instance lets no more streams in
-            self._let_go(execution)
-            self.ended(execution, Outcome.FULL, self._report(execution.instance))
+            attempt.nacked = True  # it was not sent: the instance lets no more streams in
+            self._let_go(attempt)
+            self.ended(attempt, Outcome.FULL, self._report(attempt.instance))
             return
-        site.waiting[execution] = None
-        self._connect(execution.instance, site)
+        site.waiting[attempt] = None
+        self._connect(attempt.instance, site)
 
     def _open(self, connection: Http2, upstream: Upstream) -> None:
-        execution, call = upstream.execution, upstream.call
-        if not self.gate(execution):  # what allowed it may have passed while the connection came up
-            self._let_go(execution)
+        attempt, call = upstream.attempt, upstream.call
+        if not self.gate(attempt):  # what allowed it may have passed while the connection came up
+            self._let_go(attempt)
             return
-        left = execution.timeout_at - self._loop.now()
+        left = attempt.timeout_at - self._loop.now()
         headers = request_headers(call.head, b"https" if self.context is not None else b"http", left,
-                                  call.head.attempts + execution.index)
-        execution.kept = True  # a connection is many calls': its end says nothing of this one's instance
-        execution.written = True  # from its head on it may run
+                                  call.head.attempts + attempt.index)
+        attempt.kept = True  # a connection is many calls': its end says nothing of this one's instance
+        attempt.written = True  # from its head on it may run
         try:
             upstream.stream = connection.request(headers, upstream)
             self._figures.sends += 1
         except Broken:
-            execution.written = False
-            self._let_go(execution)
-            self.ended(execution, Outcome.MOOT, None)
+            attempt.written = False
+            self._let_go(attempt)
+            self.ended(attempt, Outcome.MOOT, None)
             return
         call.attach(upstream)
         if self.host is not None:
-            self.host.started(execution)
+            self.host.started(attempt)
 
-    def _let_go(self, execution: Execution) -> Upstream | None:
-        upstream = self._upstreams.pop(execution, None)
+    def _let_go(self, attempt: Attempt) -> Upstream | None:
+        upstream = self._upstreams.pop(attempt, None)
         if upstream is not None:
             upstream.call.detach(upstream)
-            self._sites[execution.instance].out -= 1
-            self._sites[execution.instance].waiting.pop(execution, None)
+            self._sites[attempt.instance].out -= 1
+            self._sites[attempt.instance].waiting.pop(attempt, None)
         return upstream
 
     def _finished(self, upstream: Upstream, word: Word, trailers: Headers) -> None:
-        """An instance's last word on an execution; it may have asked to be left alone for a while first."""
-        execution = upstream.execution
+        """An instance's last word on an attempt; it may have asked to be left alone for a while first."""
+        attempt = upstream.attempt
         stream = upstream.stream
         if stream is not None and stream.open and not stream.ended_here:
             # An answer before the request's end: nobody reads the rest. Not before this turn's events are
             # over.
             self._loop.call_at(self._loop.now(), lambda: stream.reset(Code.NO_ERROR))
-        self._let_go(execution)
-        execution.nacked = execution.nacked or word.nacked
-        report = read_load(trailers, self.slots) or self._report(execution.instance)
+        self._let_go(attempt)
+        attempt.nacked = attempt.nacked or word.nacked
+        report = read_load(trailers, self.slots) or self._report(attempt.instance)
         if word.outcome is Outcome.FULL:
             # Guards an instance that turns one away against being shut out for seconds: what is counted here
             # would show room, and room shown but not given is how the decisions know one that leaves.
             held = report.in_hand or 0.0
             report = LoadReport(free_slots=0.0, in_hand=held, queued=held + QUEUED)
         if word.hold:
-            self._loop.call_at(self._loop.now() + word.hold, lambda: self._settle(execution, word, report))
+            self._loop.call_at(self._loop.now() + word.hold, lambda: self._settle(attempt, word, report))
         else:
-            self._settle(execution, word, report)
+            self._settle(attempt, word, report)
 
-    def _settle(self, execution: Execution, word: Word, report: LoadReport | None) -> None:
+    def _settle(self, attempt: Attempt, word: Word, report: LoadReport | None) -> None:
         if self.host is not None:
-            self.host.settle(execution, word.outcome, report, ending=word.ending)
+            self.host.settle(attempt, word.outcome, report, ending=word.ending)
 
-    def give_up(self, execution: Execution, given: Callable[[], None]) -> None:
-        upstream = self._let_go(execution)
+    def give_up(self, attempt: Attempt, given: Callable[[], None]) -> None:
+        upstream = self._let_go(attempt)
         if upstream is not None:
             upstream.give_up()
         given()
@@ -204,9 +204,9 @@
             crowded = isinstance(exc, Crowded)
             site.doubted = not crowded
             waiting, site.waiting = list(site.waiting), {}
-            for execution in waiting:
-                self._let_go(execution)
-                self.ended(execution, Outcome.MOOT if crowded else Outcome.CONNECT_FAILED, None)
+            for attempt in waiting:
+                self._let_go(attempt)
+                self.ended(attempt, Outcome.MOOT if crowded else Outcome.CONNECT_FAILED, None)
             return
         connection.on_ready = None
         site.doubted = False
@@ -216,16 +216,16 @@
             self._sweeping = True
             self._loop.call_at(self._loop.now() + SWEEP, self._sweep)
         while site.waiting and connection.room:
-            execution = next(iter(site.waiting))
-            del site.waiting[execution]
-            self._open(connection, self._upstreams[execution])
+            attempt = next(iter(site.waiting))
+            del site.waiting[attempt]
+            self._open(connection, self._upstreams[attempt])
         if site.waiting:
             # Their turn comes on another connection, or they are told that there is no room.
             waiting, site.waiting = list(site.waiting), {}
-            for execution in waiting:
-                self._upstreams.pop(execution)
+            for attempt in waiting:
+                self._upstreams.pop(attempt)
                 site.out -= 1
-                self.execute(execution)
+                self.attempt(attempt)
 
     def _gone(self, instance: WorkerId):  # type: ignore[no-untyped-def]
         def gone(connection: Http2, why: str) -> None:
--- a/pulleyroute/grpc/call.py
+++ b/pulleyroute/grpc/call.py
@@ -1,6 +1,6 @@
-"""One call: the client's stream on one side, its executions' streams on the other, and the bytes between.
+"""One call: the client's stream on one side, its attempts' streams on the other, and the bytes between.
 
-A `Call` is the client's stream's owner and has exactly one ending; an `Upstream` is one execution's stream's
+A `Call` is the client's stream's owner and has exactly one ending; an `Upstream` is one attempt's stream's
 owner. Flow control runs through: bytes count against their sender's window until the other side's kernel has
 them.
 """
@@ -19,13 +19,13 @@
 from pulleyroute.net.host import Answer, Ending, Host, Job
 from pulleyroute.net.http import Headers
 from pulleyroute.net.http2 import Code, Stream
-from pulleyroute.net.instance import Execution
+from pulleyroute.net.instance import Attempt
 
 GRACE = 5_000_000  # a call that has ended may take so long to reach a client that reads slowly
 
 
 class Finish(Protocol):
-    """What a back does with an execution's end."""
+    """What a back does with an attempt's end."""
 
     def __call__(self, upstream: Upstream, word: Word, trailers: Headers) -> None: ...
 
@@ -52,7 +52,7 @@
         self.head = head
         self.replay = Replay(replay)
         self.job: Job | None = None
-        self.upstream: Upstream | None = None  # the execution that is out
+        self.upstream: Upstream | None = None  # the attempt that is out
         self.said: Said | None = None
         self.done = False
         self.status: Status | None = None
@@ -102,7 +102,7 @@
     # The request on its way
 
     def attach(self, upstream: Upstream) -> None:
-        """An execution is out now and gets the request from its beginning."""
+        """An attempt is out now and gets the request from its beginning."""
         self.upstream = upstream
         upstream.feed()
         self._bound_memory()
@@ -120,7 +120,7 @@
             self._let_go(self.upstream.position)
 
     def _bound_memory(self) -> None:
-        """Commit once the request no longer fits: what is out is then its last execution (gRFC A6)."""
+        """Commit once the request no longer fits: what is out is then its last attempt (gRFC A6)."""
         if self.upstream is None or self.done:
             return
         if (self.replay.over or self._ledger.full) and self.replay.whole and self.job is not None:
@@ -136,7 +136,7 @@
     # The answer
 
     def begin(self, headers: Headers) -> None:
-        """The answer's headers go out: no other execution from here on."""
+        """The answer's headers go out: no other attempt from here on."""
         self._begun = True
         self.stream.send_headers(passed(headers))
         self._bound_memory()
@@ -194,11 +194,11 @@
 
 
 class Upstream:
-    """One execution's stream, and what of the request has gone there."""
+    """One attempt's stream, and what of the request has gone there."""
 
-    def __init__(self, call: Call, execution: Execution, finish: Finish, message_bytes: int) -> None:
+    def __init__(self, call: Call, attempt: Attempt, finish: Finish, message_bytes: int) -> None:
         self.call = call
-        self.execution = execution
+        self.attempt = attempt
         self.stream: Stream | None = None
         self.position = 0  # of the request: handed to the stream
         self.gone = 0  # of it: with the kernel
@@ -235,7 +235,7 @@
             if not ended:  # no gRPC at all, with a body that nobody reads
                 self._conclude(one(headers, b"grpc-status") is not None)
             return
-        if not self.call.host.begin(self.execution):
+        if not self.call.host.begin(self.attempt):
             self._over = True
             if self.stream is not None:
                 self.stream.reset()
@@ -277,10 +277,10 @@
         self._finish(self, word, head)
 
     def _judge(self, trailers: Headers) -> Word:
-        host, execution = self.call.host, self.execution
-        left = execution.timeout_at - host.now()
-        return judge_trailers(self._http or 200, trailers, self._bound, left, execution.unsafe,
-                              execution.index + 1 >= host.max_attempts)
+        host, attempt = self.call.host, self.attempt
+        left = attempt.timeout_at - host.now()
+        return judge_trailers(self._http or 200, trailers, self._bound, left, attempt.unsafe,
+                              attempt.index + 1 >= host.max_attempts)
 
     def sent(self, count: int) -> None:
         self.gone += count
--- a/pulleyroute/grpc/decide.py
+++ b/pulleyroute/grpc/decide.py
@@ -19,7 +19,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Word:
-    """What one execution came to.
+    """What one attempt came to.
 
     `ending` is set where the call ends with it whatever the class; `hold` is how many microseconds the
     instance asked to be left alone before the decisions may hear of it; `status` is what the client is told
@@ -44,7 +44,7 @@
 
 def judge_trailers(http: int, trailers: Headers, committed: bool, left: int, unsafe: bool,
                    last: bool) -> Word:
-    """An execution that ended with trailers, or with a head alone.
+    """An attempt that ended with trailers, or with a head alone.
 
     `committed`: the client has had headers of it; `left`: microseconds until the call's deadline; `unsafe`:
     its class must never run twice; `last`: no attempt is left.
@@ -69,7 +69,7 @@
 
 
 def judge_break(code: int | None, never_ran: bool) -> Word:
-    """An execution whose stream was reset with an HTTP/2 code, or whose connection broke (None)."""
+    """An attempt whose stream was reset with an HTTP/2 code, or whose connection broke (None)."""
     status = from_reset(code)
     if never_ran:
         # gRFC A6, transparent retries: REFUSED_STREAM, or above a GOAWAY's last id, which says nothing of
@@ -79,7 +79,7 @@
 
 
 class Replay:
-    """A request's bytes: those that a resend would need, and those not yet handed to the one execution left.
+    """A request's bytes: those that a resend would need, and those not yet handed to the one attempt left.
 
     `most` bounds what is kept for a resend, in bytes. Offsets count from the request's first byte.
     """
--- a/pulleyroute/lab/campaign.py
+++ b/pulleyroute/lab/campaign.py
@@ -56,7 +56,7 @@
     seed: int
     calls: int
     statuses: Counter[int]
-    executions: int
+    attempts: int
     acts: Counter[str]
     broken: list[str]
 
@@ -131,7 +131,7 @@
         self.front.listen(("127.0.0.1", 0))
 
     def script(self, request: str, attempts: int) -> Act:
-        """What a box does with an execution: by seed, request and try, whatever happened before."""
+        """What a box does with an attempt: by seed, request and try, whatever happened before."""
         return draw(random.Random(f"{self.seed}/{request}/{attempts}"))
 
     def _list(self) -> None:
@@ -250,7 +250,7 @@
         parts = [f"{taken.box} at {(taken.at - asked.began) / 1e6:+.3f} s {taken.act}, told {taken.told}, "
                  f"dropped {taken.dropped}, given up {taken.given_up}" for taken in runs]
         return (f"{'unsafe' if asked.unsafe else 'safe'}, {asked.timeout / 1e6} s, endings {asked.endings}, "
-                f"status {asked.status}, cancelled {asked.cancelled}: {'; '.join(parts) or 'no execution'}")
+                f"status {asked.status}, cancelled {asked.cancelled}: {'; '.join(parts) or 'no attempt'}")
 
 
 def judge(asked: Asked, runs: list[Taken]) -> list[str]:
@@ -260,7 +260,7 @@
     if asked.unsafe and len(may_have_run) > 1:
         found.append(f"must never run twice and may have run {len(may_have_run)} times")
     if len(runs) > 4:
-        found.append(f"{len(runs)} executions")
+        found.append(f"{len(runs)} attempts")
     if asked.cancelled:
         return found + [f"cancelled, and {taken.box} was not told" for taken in runs
                         if not taken.told and taken.given_up is None]
--- a/pulleyroute/lab/demo.py
+++ b/pulleyroute/lab/demo.py
@@ -92,7 +92,7 @@
 @dataclass(slots=True)
 class Result:
     rows: dict[str, Row]
-    executions: Counter[str]
+    attempts: Counter[str]
     broken: list[str]
     seconds: float
     figures: dict[str, int] = field(default_factory=dict)  # what the operators' door said at the end
@@ -217,8 +217,8 @@
         channel.close()
         seconds = time.monotonic() - began
         tick(1.0, len(self.book.answers))
-        executions = Counter(self.kinds[run.request] for run in self.book.runs)
-        return Result(self.rows, executions,
+        attempts = Counter(self.kinds[run.request] for run in self.book.runs)
+        return Result(self.rows, attempts,
                       [f"{each.rule.value}: {each.text}" for each in verdict(self.book, KINDS)],
                       seconds)
 
--- a/pulleyroute/lab/referee.py
+++ b/pulleyroute/lab/referee.py
@@ -53,22 +53,22 @@
 
 @dataclass(slots=True, frozen=True)
 class Sent:
-    """An execution's last byte reached a box. `work` counts against a cold one."""
+    """An attempt's last byte reached a box. `work` counts against a cold one."""
 
     at: int
     request: str
-    execution: int
+    attempt: int
     box: str
     work: int = 0
 
 
 @dataclass(slots=True, frozen=True)
 class Proved:
-    """The dispatcher has been told that an execution never ran."""
+    """The dispatcher has been told that an attempt never ran."""
 
     at: int
     request: str
-    execution: int
+    attempt: int
 
 
 @dataclass(slots=True, frozen=True)
@@ -171,7 +171,7 @@
             raise ValueError(f"nobody asked for {event.request}")
         request.events.append(event)
         if isinstance(event, Proved):
-            request.proved.add(event.execution)
+            request.proved.add(event.attempt)
         elif isinstance(event, Answered):
             self._answer(request, event)
         else:
@@ -202,7 +202,7 @@
             self._tell(Rule.ONE_ANSWER, event.at, f"{event.request} was answered after its give-up time",
                        request)
         if event.ending == "refused" and request.kind.effect == "unsafe":
-            ran = [each for each in request.sent if each.execution not in request.proved]
+            ran = [each for each in request.sent if each.attempt not in request.proved]
             if ran:
                 # A refusal promises that a repeat is harmless.
                 self._tell(Rule.NO_REPEAT, event.at,
@@ -216,7 +216,7 @@
             self._tell(Rule.DRAIN, event.at,
                        f"{event.request} went to {event.box} {late:.2f} s after it was told "
                                              f"{told.phase}", request)
-        earlier = [each for each in request.sent if each.execution not in request.proved]
+        earlier = [each for each in request.sent if each.attempt not in request.proved]
         request.sent.append(event)
         for each in earlier:
             if not self._may_repeat(request.kind, each, event):
--- a/pulleyroute/net/host.py
+++ b/pulleyroute/net/host.py
@@ -18,7 +18,7 @@
 from pulleyroute.interface import Effect, JobClass, Outcome, Scope, Settings, WorkerId
 from pulleyroute.net import log
 from pulleyroute.net.http import Headers
-from pulleyroute.net.instance import Ended, Execution, Gate, Probed, Rejected
+from pulleyroute.net.instance import Attempt, Ended, Gate, Probed, Rejected
 from pulleyroute.net.loop import Loop, Timer
 from pulleyroute.net.name_table import NameTable
 from pulleyroute.rules import PROVEN_NOT_RUN, Dispatcher
@@ -74,7 +74,7 @@
 
 
 class State(Enum):
-    """What an instance tells of an execution."""
+    """What an instance tells of an attempt."""
 
     STARTED = "started"
     RUNNING = "running"
@@ -110,24 +110,24 @@
     rejected: Rejected
     probed: Probed
 
-    def execute(self, execution: Execution) -> None: ...
-    def give_up(self, execution: Execution, given: Callable[[], None]) -> None: ...
+    def attempt(self, attempt: Attempt) -> None: ...
+    def give_up(self, attempt: Attempt, given: Callable[[], None]) -> None: ...
     def probe(self, instance: WorkerId) -> None: ...
     def close_idle(self, instance: WorkerId) -> None: ...
 
 
-def _silent(execution: Execution) -> bool:
+def _silent(attempt: Attempt) -> bool:
     """Whether no call will come of it: it was not sent, or its answer said that it was not taken."""
-    return execution.over and (
-        execution.nacked or execution.outcome in (Outcome.CONNECT_FAILED, Outcome.MOOT)
+    return attempt.over and (
+        attempt.nacked or attempt.outcome in (Outcome.CONNECT_FAILED, Outcome.MOOT)
     )
 
 
 def _history(job: Job) -> str:
-    """The executions of a job, for the log."""
-    ends = ["out" if e.outcome is None else e.outcome.name.lower() for e in job.executions]
-    each = [f"{e.instance.decode()} {end}" for e, end in zip(job.executions, ends, strict=True)]
-    return ", ".join(each) or "no execution"
+    """The attempts of a job, for the log."""
+    ends = ["out" if e.outcome is None else e.outcome.name.lower() for e in job.attempts]
+    each = [f"{e.instance.decode()} {end}" for e, end in zip(job.attempts, ends, strict=True)]
+    return ", ".join(each) or "no attempt"
 
 
 @dataclass(slots=True, eq=False)
@@ -140,17 +140,17 @@
     deadline: int
     # What it was taken under, whatever the settings say by now.
     cls: JobClass
-    most: int  # executions
+    most: int  # attempts
     taken: int = 0
-    executions: list[Execution] = field(default_factory=list)
+    attempts: list[Attempt] = field(default_factory=list)
     answered: bool = False  # or nobody waits any more
     guard: Timer | None = None
-    bound: Execution | None = None  # its answer has begun to flow: no other execution from here on
-    committed: bool = False  # the request is not whole any more: what is out is the last execution
+    bound: Attempt | None = None  # its answer has begun to flow: no other attempt from here on
+    committed: bool = False  # the request is not whole any more: what is out is the last attempt
 
 
 class Host:
-    """Owns the dispatcher, the jobs, their executions and deadlines."""
+    """Owns the dispatcher, the jobs, their attempts and deadlines."""
 
     def __init__(
         self, loop: Loop, settings: Settings, seed: int, names: NameTable, instances: Back
@@ -245,7 +245,7 @@
 
     @property
     def held(self) -> int:
-        """Requests not forgotten: the open ones, and those whose executions outlive them."""
+        """Requests not forgotten: the open ones, and those whose attempts outlive them."""
         return len(self._jobs)
 
     def knows(self, txn: str) -> bool:
@@ -280,14 +280,14 @@
         job.guard = self._loop.call_at(guard, lambda: self._overdue(job))
 
     def abandon(self, job: Job, stop: bool = False) -> None:
-        """The client is gone; with `stop`, so that its executions are to end too."""
+        """The client is gone; with `stop`, so that its attempts are to end too."""
         if not job.answered:
             self._conclude(job)
             self.post(api.JobExpired(job.number))
             self._forget(job)
         if stop:
-            for execution in [e for e in job.executions if not e.over]:
-                self._stop(execution, Outcome.CANCELLED)
+            for attempt in [e for e in job.attempts if not e.over]:
+                self._stop(attempt, Outcome.CANCELLED)
 
     # Another process of this dispatcher
 
@@ -310,7 +310,7 @@
     def movable(self, job: Job) -> bool:
         """Whether all that is out for it is with the instances, and nothing hangs on this process's
         connections."""
-        out = [execution for execution in job.executions if not execution.over]
+        out = [attempt for attempt in job.attempts if not attempt.over]
         return (not job.answered and job.bound is None and not job.committed and bool(out)
                 and all(each.accepted and not each.stopping for each in out))
 
@@ -327,14 +327,14 @@
             "executions": [{
                 "instance": e.instance.decode(), "sent": e.sent, "timeout_at": e.timeout_at, "over": e.over,
                 "started": e.started, "outcome": e.outcome, "written": e.written, "accepted": e.accepted,
-                "nacked": e.nacked} for e in job.executions],
+                "nacked": e.nacked} for e in job.attempts],
         }
 
     def release(self, job: Job) -> None:
         """Another process has the job: it is none of this one's any more, and nothing is stopped for it."""
         self._conclude(job)
-        for execution in [e for e in job.executions if not e.over]:
-            self.settle(execution, Outcome.CANCELLED, None)
+        for attempt in [e for e in job.attempts if not e.over]:
+            self.settle(attempt, Outcome.CANCELLED, None)
         self.post(api.JobExpired(job.number))
         self._forget(job)
 
@@ -350,50 +350,50 @@
         job = Job(self._count, request, reply, values["deadline"] + shift, cls, values["most"],
                   values["taken"] + shift)
         for told in values["executions"]:
-            execution = self._execution(job, told["instance"].encode(), told["sent"] + shift,
+            attempt = self._attempt(job, told["instance"].encode(), told["sent"] + shift,
                                         told["timeout_at"] + shift)
             for name in ("over", "started", "written", "accepted", "nacked"):
-                setattr(execution, name, told[name])
-            execution.outcome = None if told["outcome"] is None else Outcome(told["outcome"])
-            job.executions.append(execution)
+                setattr(attempt, name, told[name])
+            attempt.outcome = None if told["outcome"] is None else Outcome(told["outcome"])
+            job.attempts.append(attempt)
         self._hold(job)
-        for execution in [e for e in job.executions if not e.over]:
-            self._arm(execution)
+        for attempt in [e for e in job.attempts if not e.over]:
+            self._arm(attempt)
         if values["rules"] is not None:
             self._carry_out(recall.learn_job(self._dispatcher, self._loop.now(), job.number, cls, job.most,
                                              values["rules"], shift))
         return job
 
-    # Executions as they go
+    # Attempts as they go
 
-    def started(self, execution: Execution) -> None:
-        """An execution runs, as far as its protocol can tell."""
-        job = self._by_txn.get(execution.txn)
-        if job is not None and not execution.over and not execution.started:
-            execution.started = True
+    def started(self, attempt: Attempt) -> None:
+        """An attempt runs, as far as its protocol can tell."""
+        job = self._by_txn.get(attempt.txn)
+        if job is not None and not attempt.over and not attempt.started:
+            attempt.started = True
             if log.debugging:
-                log.event("started", txn=execution.txn, index=execution.index,
-                          instance=execution.instance.decode(), took=self._loop.now() - execution.sent)
-            self.post(api.AttemptStarted(job.number, execution.index, execution.instance))
+                log.event("started", txn=attempt.txn, index=attempt.index,
+                          instance=attempt.instance.decode(), took=self._loop.now() - attempt.sent)
+            self.post(api.AttemptStarted(job.number, attempt.index, attempt.instance))
 
-    def begin(self, execution: Execution) -> bool:
-        """The answer begins to flow from this execution; False if it may not, since another one is bound.
+    def begin(self, attempt: Attempt) -> bool:
+        """The answer begins to flow from this attempt; False if it may not, since another one is bound.
 
         Guards the one answer: from here on the request goes out no more (gRFC A6, "committed").
         """
-        job = self._by_txn.get(execution.txn)
-        if job is None or job.answered or execution.over or job.bound not in (None, execution):
+        job = self._by_txn.get(attempt.txn)
+        if job is None or job.answered or attempt.over or job.bound not in (None, attempt):
             return False
         if job.bound is None:
-            job.bound = execution
-            self.post(api.StreamBegan(job.number, execution.index, execution.instance))
-            for other in [e for e in job.executions if e is not execution and not e.over]:
+            job.bound = attempt
+            self.post(api.StreamBegan(job.number, attempt.index, attempt.instance))
+            for other in [e for e in job.attempts if e is not attempt and not e.over]:
                 self._stop(other, Outcome.CANCELLED)
         return True
 
     def _conclude(self, job: Job) -> None:
         job.answered = True
-        job.request.body = b""  # guards the memory: its executions may outlive it for long
+        job.request.body = b""  # guards the memory: its attempts may outlive it for long
         self.open -= 1
         if job.guard is not None:
             job.guard.cancel()
@@ -406,11 +406,11 @@
             cls = job.cls.name
             logger.bind(
                 event="request.ended", request=job.request.txn, cls=cls, outcome=answer.ending.value,
-                executions=len(job.executions), took=self._loop.now() - job.taken,
+                attempts=len(job.attempts), took=self._loop.now() - job.taken,
             ).info("request {} {}: {}", job.request.txn, answer.ending.value, _history(job))
         if log.debugging:
             log.event("answer", txn=job.request.txn, cls=job.cls.name, ending=answer.ending.value,
-                      executions=len(job.executions), took=self._loop.now() - job.taken)
+                      attempts=len(job.attempts), took=self._loop.now() - job.taken)
         job.reply(answer)
         self._forget(job)
 
@@ -418,7 +418,7 @@
         return self._loop.now() >= job.deadline
 
     def _forget(self, job: Job) -> None:
-        if job.answered and all(execution.over for execution in job.executions):
+        if job.answered and all(attempt.over for attempt in job.attempts):
             self._jobs.pop(job.number, None)
             if self._by_txn.get(job.request.txn) is job:
                 del self._by_txn[job.request.txn]
@@ -453,90 +453,90 @@
         cls = job.cls
         if cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.scope is Scope.ALL):
             return False
-        return any(e.outcome not in PROVEN_NOT_RUN for e in job.executions)
+        return any(e.outcome not in PROVEN_NOT_RUN for e in job.attempts)
 
     def _fail(self, action: api.Fail) -> None:
         job = self._jobs.get(action.job)
         if job is not None and not job.answered:
             self._answer(job, Answer(Ending.FAILED, late=self._late(job)))
 
-    # Executions
+    # Attempts
 
     def _push(self, action: api.Push) -> None:
         job = self._jobs.get(action.job)
         if job is None:
             logger.error("the module pushed a job that nobody holds")
             return
-        execution = self._execution(job, action.worker, self._now,
+        attempt = self._attempt(job, action.worker, self._now,
                                     min(action.timeout_at or job.deadline, job.deadline))
-        earlier = [e for e in job.executions if e.instance == action.worker]
-        job.executions.append(execution)
+        earlier = [e for e in job.attempts if e.instance == action.worker]
+        job.attempts.append(attempt)
         if (
             job.answered
             # Guards against a resend of what is bound, or of a request whose beginning is gone (gRFC A6).
             or job.bound is not None
-            or (job.committed and execution.index > 0)
-            or execution.timeout_at <= self._now
-            or execution.index >= job.most
-            # Guards against two executions of a request at one instance: calls name no execution, so a late
+            or (job.committed and attempt.index > 0)
+            or attempt.timeout_at <= self._now
+            or attempt.index >= job.most
+            # Guards against two attempts of a request at one instance: calls name no attempt, so a late
             # word on the earlier one would be taken for the later one's.
             or not all(_silent(e) for e in earlier)
         ):
-            self.settle(execution, Outcome.MOOT, None)
+            self.settle(attempt, Outcome.MOOT, None)
             return
-        self._arm(execution)
+        self._arm(attempt)
         if log.debugging:
-            self._tell_push(job, execution)
-        self._instances.execute(execution)
+            self._tell_push(job, attempt)
+        self._instances.attempt(attempt)
 
-    def _tell_push(self, job: Job, execution: Execution) -> None:
+    def _tell_push(self, job: Job, attempt: Attempt) -> None:
         """What a push rested on, for the log. Times are microseconds, -1 where there is none."""
-        worker = self._dispatcher.workers[execution.instance]
+        worker = self._dispatcher.workers[attempt.instance]
         aged = worker.free is not None and worker.report_at
         log.event(
-            "push", txn=execution.txn, index=execution.index, instance=execution.instance.decode(),
+            "push", txn=attempt.txn, index=attempt.index, instance=attempt.instance.decode(),
             cls=job.cls.name, waited=self._now - job.taken, zone=self._settings.zone, to=worker.zone,
             free="-" if worker.free is None else round(worker.free, 2),
             age=self._now - worker.report_at if aged else -1,
             near=int(worker in self._dispatcher.near),
             up=self._now - worker.started if worker.started else -1)
 
-    def _execution(self, job: Job, instance: WorkerId, sent: int, timeout_at: int) -> Execution:
-        """The job's next execution, not begun."""
+    def _attempt(self, job: Job, instance: WorkerId, sent: int, timeout_at: int) -> Attempt:
+        """The job's next attempt, not begun."""
         request, effect = job.request, job.cls.effect
-        return Execution(
-            txn=request.txn, index=len(job.executions), instance=instance, method=request.method,
+        return Attempt(
+            txn=request.txn, index=len(job.attempts), instance=instance, method=request.method,
             target=request.target, headers=request.headers, body=request.body, sent=sent,
             timeout_at=timeout_at, repeatable=effect is Effect.SAFE, call=request.call,
             unsafe=effect is Effect.UNSAFE, incarnation=self._names.incarnation(instance),
         )
 
-    def _may_begin(self, execution: Execution) -> bool:
-        """The one gate before an execution's first byte; what it stops never ran and is settled here.
+    def _may_begin(self, attempt: Attempt) -> bool:
+        """The one gate before an attempt's first byte; what it stops never ran and is settled here.
 
         Between the decision and the first byte lie a queue, a connect that may take seconds, a busy loop: all
         that allowed it then is asked again, in the turn that writes.
         """
-        job = self._by_txn.get(execution.txn)
-        if job is None or execution.over or execution.stopping:
+        job = self._by_txn.get(attempt.txn)
+        if job is None or attempt.over or attempt.stopping:
             return False
         if not job.answered and job.request.gone is not None and job.request.gone():
             # Guards against work for nobody: the client's end may stand unread behind other bytes.
             self.abandon(job)
-        if job.answered or not self._allowed(job, execution):
-            self.settle(execution, Outcome.MOOT, None)
+        if job.answered or not self._allowed(job, attempt):
+            self.settle(attempt, Outcome.MOOT, None)
             return False
         return True
 
-    def _allowed(self, job: Job, execution: Execution) -> bool:
-        now, instance = self._loop.now(), execution.instance
-        if now >= execution.timeout_at:
+    def _allowed(self, job: Job, attempt: Attempt) -> bool:
+        now, instance = self._loop.now(), attempt.instance
+        if now >= attempt.timeout_at:
             return False
-        if not self._names.active(instance) or self._names.incarnation(instance) != execution.incarnation:
+        if not self._names.active(instance) or self._names.incarnation(instance) != attempt.incarnation:
             # Guards the drain rule, and an instance that has started anew: it is cold now, and what the
             # decisions counted for it was another's.
             return False
-        others = [e for e in job.executions if e is not execution and e.outcome not in PROVEN_NOT_RUN]
+        others = [e for e in job.attempts if e is not attempt and e.outcome not in PROVEN_NOT_RUN]
         if not self._settings.second_copies and any(not e.over for e in others):
             return False
         if not others or job.cls.effect is Effect.SAFE:
@@ -546,101 +546,101 @@
         return (job.cls.effect is Effect.KEYED
                 and now + ON_THE_WAY < min(e.sent for e in others) + job.cls.repeat_window)
 
-    def _arm(self, execution: Execution) -> None:
-        execution.timer = self._loop.call_at(execution.timeout_at, lambda: self._time_out(execution))
+    def _arm(self, attempt: Attempt) -> None:
+        attempt.timer = self._loop.call_at(attempt.timeout_at, lambda: self._time_out(attempt))
 
-    def settle(self, execution: Execution, outcome: Outcome, report: api.LoadReport | None,
+    def settle(self, attempt: Attempt, outcome: Outcome, report: api.LoadReport | None,
                result: bytes = b"", ending: Ending | None = None) -> None:
-        """An execution has ended; only the first word on it counts.
+        """An attempt has ended; only the first word on it counts.
 
-        With `ending` that is the request's end too. So it is where the request was bound to this execution or
+        With `ending` that is the request's end too. So it is where the request was bound to this attempt or
         is not whole any more: then nothing else can answer it.
         """
-        if execution.over:
+        if attempt.over:
             return
-        execution.over = True
-        execution.outcome = outcome
-        if execution.timer is not None:
-            execution.timer.cancel()
-        job = self._by_txn[execution.txn]
+        attempt.over = True
+        attempt.outcome = outcome
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        job = self._by_txn[attempt.txn]
         if ending is None and outcome is Outcome.OK:
             ending = Ending.SERVED
-        elif ending is None and (job.bound is execution or job.committed):
+        elif ending is None and (job.bound is attempt or job.committed):
             harmless = job.bound is None and outcome in PROVEN_NOT_RUN and not self._harmful(job)
             ending = Ending.REFUSED if harmless else Ending.FAILED
         if ending is not None and not job.answered:
             self._answer(job, Answer(ending, result, late=self._late(job) and ending is not Ending.SERVED))
-        took = max(0, self._loop.now() - execution.sent)
+        took = max(0, self._loop.now() - attempt.sent)
         if log.debugging:
-            log.event("ended", txn=execution.txn, index=execution.index, outcome=outcome.name.lower(),
-                      instance=execution.instance.decode(), took=took)
+            log.event("ended", txn=attempt.txn, index=attempt.index, outcome=outcome.name.lower(),
+                      instance=attempt.instance.decode(), took=took)
         self.post(api.AttemptEnded(
-            job.number, execution.index, execution.instance, outcome, job.answered, took, report,
+            job.number, attempt.index, attempt.instance, outcome, job.answered, took, report,
             # Once accepted it no longer hangs on its connection.
-            execution.kept and not execution.accepted))
+            attempt.kept and not attempt.accepted))
         self._forget(job)
 
-    def _reject(self, execution: Execution) -> None:
+    def _reject(self, attempt: Attempt) -> None:
         """An instance can't use the request, so none can: answer, send it nowhere else and blame nobody.
 
         Guards the instances against bad clients: an error makes a sound one a tenth as likely for seconds.
         """
-        job = self._by_txn.get(execution.txn)
-        if execution.over or job is None:
+        job = self._by_txn.get(attempt.txn)
+        if attempt.over or job is None:
             return
         if not job.answered:
             self._answer(job, Answer(Ending.REJECTED))
-        self.settle(execution, Outcome.CANCELLED, None)
+        self.settle(attempt, Outcome.CANCELLED, None)
 
-    def _time_out(self, execution: Execution) -> None:
-        execution.timer = None
-        if not execution.over:
-            self._stop(execution, Outcome.TIMEOUT)
+    def _time_out(self, attempt: Attempt) -> None:
+        attempt.timer = None
+        if not attempt.over:
+            self._stop(attempt, Outcome.TIMEOUT)
 
     def _cancel(self, action: api.Cancel) -> None:
         job = self._jobs.get(action.job)
-        if job is not None and action.attempt < len(job.executions):
-            execution = job.executions[action.attempt]
-            if execution.over or execution.stopping or job.bound is execution:
+        if job is not None and action.attempt < len(job.attempts):
+            attempt = job.attempts[action.attempt]
+            if attempt.over or attempt.stopping or job.bound is attempt:
                 return
             if self._settings.second_copies or job.answered:
-                self._stop(execution, Outcome.CANCELLED)
+                self._stop(attempt, Outcome.CANCELLED)
                 return
-            # Guards against two copies at once, where none are allowed: the next execution's push may
+            # Guards against two copies at once, where none are allowed: the next attempt's push may
             # overtake this one's DELETE, which may have a connection to wait for.
-            execution.stopping = True
-            self._instances.give_up(execution, lambda: self._stopped(execution, Outcome.CANCELLED))
+            attempt.stopping = True
+            self._instances.give_up(attempt, lambda: self._stopped(attempt, Outcome.CANCELLED))
 
-    def _stop(self, execution: Execution, outcome: Outcome) -> None:
+    def _stop(self, attempt: Attempt, outcome: Outcome) -> None:
         """Give up at the instance, and tell the outcome at once."""
-        if not execution.stopping:
-            execution.stopping = True
-            self._instances.give_up(execution, lambda: None)
-        self._stopped(execution, outcome)
+        if not attempt.stopping:
+            attempt.stopping = True
+            self._instances.give_up(attempt, lambda: None)
+        self._stopped(attempt, outcome)
 
-    def _stopped(self, execution: Execution, outcome: Outcome) -> None:
-        if not execution.written:
+    def _stopped(self, attempt: Attempt, outcome: Outcome) -> None:
+        if not attempt.written:
             outcome = Outcome.MOOT  # its last byte never left: it never ran
-        self.settle(execution, outcome, None)
+        self.settle(attempt, outcome, None)
 
     def call(self, call: Call) -> None:
-        """An instance's word on an execution; stale, repeated and unknown ones change nothing."""
+        """An instance's word on an attempt; stale, repeated and unknown ones change nothing."""
         job = self._by_txn.get(call.txn)
         if job is None:
             return
-        for execution in job.executions:
-            # Guards against calls that repeat or come late: an ended execution stays ended, and none is
+        for attempt in job.attempts:
+            # Guards against calls that repeat or come late: an ended attempt stays ended, and none is
             # spoken of before its last byte was written.
-            if execution.instance == call.instance and execution.written and not execution.over:
+            if attempt.instance == call.instance and attempt.written and not attempt.over:
                 break
         else:
             return
         if call.state is State.STARTED:
-            self.started(execution)
+            self.started(attempt)
         elif call.state is State.RUNNING:
-            self.post(api.AttemptProgress(job.number, execution.index, execution.instance, call.share))
+            self.post(api.AttemptProgress(job.number, attempt.index, attempt.instance, call.share))
         else:
-            self.settle(execution, _ENDS[call.state], call.report, call.result)
+            self.settle(attempt, _ENDS[call.state], call.report, call.result)
 
     # Probes and time
 
--- a/pulleyroute/net/instance.py
+++ b/pulleyroute/net/instance.py
@@ -1,4 +1,4 @@
-"""Connections to instances: executions, giving them up, and probes."""
+"""Connections to instances: attempts, giving them up, and probes."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 PROBE_TIME = 500_000
 GIVE_UP_TIME = 1_000_000  # for a DELETE and its answer
-ANSWER_GRACE = 1_000_000  # an answer may be read this long after its execution ended otherwise
+ANSWER_GRACE = 1_000_000  # an answer may be read this long after its attempt ended otherwise
 CONNECT_TIME = 1_000_000  # where the settings name no limit
 MAY_PASS = (408, 429)  # of the answers that blame a request, those that a repeat may not get
 DISTRUST = 10_000_000  # how long kept ones carry only what may be repeated freely after one has broken
@@ -42,8 +42,8 @@
 
 
 @dataclass(slots=True, eq=False)
-class Execution:
-    """One attempt of a request at an instance. The host sets it up; `written` and below are this module's."""
+class Attempt:
+    """One try of a request at an instance. The host sets it up; `written` and below are this module's."""
 
     txn: str
     index: int
@@ -71,21 +71,21 @@
 
 
 class Ended(Protocol):
-    """An execution's outcome."""
+    """An attempt's outcome."""
 
-    def __call__(self, execution: Execution, outcome: Outcome, report: LoadReport | None, /) -> None: ...
+    def __call__(self, attempt: Attempt, outcome: Outcome, report: LoadReport | None, /) -> None: ...
 
 
 class Gate(Protocol):
-    """Whether an execution may begin now; what may not is settled by whoever says so."""
+    """Whether an attempt may begin now; what may not is settled by whoever says so."""
 
-    def __call__(self, execution: Execution, /) -> bool: ...
+    def __call__(self, attempt: Attempt, /) -> bool: ...
 
 
 class Rejected(Protocol):
     """An instance can't use the request."""
 
-    def __call__(self, execution: Execution, /) -> None: ...
+    def __call__(self, attempt: Attempt, /) -> None: ...
 
 
 class Probed(Protocol):
@@ -122,9 +122,9 @@
         self._idle: dict[WorkerId, list[Kept]] = {}
         self._sweeping = False
         self._distrust_until = 0  # a kept connection broke under a request not long ago
-        self.ended: Ended = lambda execution, outcome, report: None
-        self.gate: Gate = lambda execution: True
-        self.rejected: Rejected = lambda execution: None
+        self.ended: Ended = lambda attempt, outcome, report: None
+        self.gate: Gate = lambda attempt: True
+        self.rejected: Rejected = lambda attempt: None
         self.probed: Probed = lambda instance, outcome, took, report: None
 
     @property
@@ -227,122 +227,122 @@
         head = h11.Request(method=method, target=target, headers=[(b"Host", host), *headers])
         return stream.frame(head, body)
 
-    # Executions
+    # Attempts
 
-    def execute(self, execution: Execution) -> None:
+    def attempt(self, attempt: Attempt) -> None:
         """Send the request; its outcome is told by `ended`, unless a call tells it first."""
-        execution.task = Task(self._loop, self._executing(execution), f"execution {execution.txn}")
-        execution.task.start()
+        attempt.task = Task(self._loop, self._attempting(attempt), f"attempt {attempt.txn}")
+        attempt.task.start()
 
-    def _executing(self, execution: Execution) -> Coroutine[None]:
+    def _attempting(self, attempt: Attempt) -> Coroutine[None]:
         stream = None
         try:
             try:
-                if execution.repeatable or self._loop.now() >= self._distrust_until:
+                if attempt.repeatable or self._loop.now() >= self._distrust_until:
                     # Guards what can't be sent again: a kept connection may be gone and not show it, as where
                     # an instance closes idle ones early.
-                    stream = self._kept(execution.instance, 0 if execution.repeatable else SILENT_FOR)
-                execution.kept = stream is not None
+                    stream = self._kept(attempt.instance, 0 if attempt.repeatable else SILENT_FOR)
+                attempt.kept = stream is not None
                 if stream is None:
-                    stream = yield from self._open(execution.instance)
-                if not self.gate(execution):  # what allowed it may have passed while the connection came up
-                    self._keep(execution.instance, stream, execution.incarnation)
+                    stream = yield from self._open(attempt.instance)
+                if not self.gate(attempt):  # what allowed it may have passed while the connection came up
+                    self._keep(attempt.instance, stream, attempt.incarnation)
                     stream = None
                     return
-                left = max(1, (execution.timeout_at - self._loop.now()) // 1000)
-                headers = [*execution.headers, (b"X-Txn", execution.txn.encode()),
+                left = max(1, (attempt.timeout_at - self._loop.now()) // 1000)
+                headers = [*attempt.headers, (b"X-Txn", attempt.txn.encode()),
                            (b"X-Remaining-Ms", b"%d" % left)]
-                data = self._frame(stream, execution.instance, execution.method, execution.target,
-                                   headers, execution.body)
-                yield from stream.send(data, execution.timeout_at)
+                data = self._frame(stream, attempt.instance, attempt.method, attempt.target,
+                                   headers, attempt.body)
+                yield from stream.send(data, attempt.timeout_at)
             except Crowded:
-                self.ended(execution, Outcome.MOOT, None)
+                self.ended(attempt, Outcome.MOOT, None)
                 return
             except (Broken, Late) as exc:  # the last byte was not written: it never ran
-                logger.bind(event="instance.unreachable", instance=execution.instance.decode()).warning(
-                    "instance {}: could not connect: {}", execution.instance.decode(), exc)
-                if execution.kept:
-                    self._broke(execution.instance)
-                self.ended(execution, Outcome.CONNECT_FAILED, None)
+                logger.bind(event="instance.unreachable", instance=attempt.instance.decode()).warning(
+                    "instance {}: could not connect: {}", attempt.instance.decode(), exc)
+                if attempt.kept:
+                    self._broke(attempt.instance)
+                self.ended(attempt, Outcome.CONNECT_FAILED, None)
                 return
-            execution.written = True
+            attempt.written = True
             self._figures.sends += 1
             try:
                 # No resending from here on, whatever the connection does: the request may have run.
                 answer = yield from stream.response(
-                    execution.timeout_at + ANSWER_GRACE, begun=lambda status: self._begun(execution, status))
+                    attempt.timeout_at + ANSWER_GRACE, begun=lambda status: self._begun(attempt, status))
             except (Broken, Late, Malformed) as exc:
-                if execution.accepted:
+                if attempt.accepted:
                     # Guards against a second copy: with the head of its 202 the instance has taken the job,
                     # and calls back, however the rest of that answer ends.
                     return
-                if not execution.over:
-                    logger.bind(event="instance.reset", instance=execution.instance.decode()).warning(
-                        "instance {}: reset: {}", execution.instance.decode(), exc)
-                if execution.kept and not isinstance(exc, Late):
-                    self._broke(execution.instance)
-                self.ended(execution, Outcome.RESET, None)
+                if not attempt.over:
+                    logger.bind(event="instance.reset", instance=attempt.instance.decode()).warning(
+                        "instance {}: reset: {}", attempt.instance.decode(), exc)
+                if attempt.kept and not isinstance(exc, Late):
+                    self._broke(attempt.instance)
+                self.ended(attempt, Outcome.RESET, None)
                 return
-            self._keep(execution.instance, stream, execution.incarnation)
+            self._keep(attempt.instance, stream, attempt.incarnation)
             stream = None
-            self._judge(execution, answer)
+            self._judge(attempt, answer)
         finally:
             if stream is not None:
                 self._drop(stream)
 
-    def _begun(self, execution: Execution, status: int) -> None:
-        execution.accepted = status == 202
+    def _begun(self, attempt: Attempt, status: int) -> None:
+        attempt.accepted = status == 202
 
-    def _judge(self, execution: Execution, answer: Message) -> None:
-        """What an instance's answer means for its execution."""
-        if execution.accepted:
+    def _judge(self, attempt: Attempt, answer: Message) -> None:
+        """What an instance's answer means for its attempt."""
+        if attempt.accepted:
             return
         marked = (b"x-turned-away", b"1") in answer.headers
         report = None
         if self._settings.report_source is ReportSource.ANSWERS:
             values = [value for name, value in answer.headers if name == b"x-pressure"]
-            report = self.report(execution.instance, values[0]) if values else None
+            report = self.report(attempt.instance, values[0]) if values else None
         if answer.status in (503, 504) and marked:
-            execution.nacked = True
-            self.ended(execution, Outcome.FULL, report)
+            attempt.nacked = True
+            self.ended(attempt, Outcome.FULL, report)
             return
-        logger.bind(event="instance.answered", instance=execution.instance.decode(),
+        logger.bind(event="instance.answered", instance=attempt.instance.decode(),
                     status=answer.status).warning(
-            "instance {}: answered {}", execution.instance.decode(), answer.status)
+            "instance {}: answered {}", attempt.instance.decode(), answer.status)
         if 400 <= answer.status < 500 and answer.status not in MAY_PASS:
-            self.rejected(execution)
+            self.rejected(attempt)
             return
-        self.ended(execution, Outcome.ERROR, report)
+        self.ended(attempt, Outcome.ERROR, report)
 
-    def give_up(self, execution: Execution, given: Callable[[], None]) -> None:
-        """Stop an execution at its instance: close before its answer, DELETE after.
+    def give_up(self, attempt: Attempt, given: Callable[[], None]) -> None:
+        """Stop an attempt at its instance: close before its answer, DELETE after.
 
-        `given` is called once the instance has heard of it; where second copies are allowed, or the execution
+        `given` is called once the instance has heard of it; where second copies are allowed, or the attempt
         has ended meanwhile, also if it can't be reached.
         """
-        if execution.task is not None and not execution.task.done:
+        if attempt.task is not None and not attempt.task.done:
             # Guards against a second copy: a close gives up only what has no 202 yet, and that may have come
             # and wait to be read.
-            execution.task.hear()
-            execution.task.cancel()
-        if execution.accepted:
-            self._loop.spawn(self._deleting(execution, given), "give-up")
+            attempt.task.hear()
+            attempt.task.cancel()
+        if attempt.accepted:
+            self._loop.spawn(self._deleting(attempt, given), "give-up")
             return
         given()
 
-    def _deleting(self, execution: Execution, given: Callable[[], None]) -> Coroutine[None]:
+    def _deleting(self, attempt: Attempt, given: Callable[[], None]) -> Coroutine[None]:
         limit = self._settings.connect_timeout or GIVE_UP_TIME
-        target = b"/jobs/" + execution.txn.encode()
+        target = b"/jobs/" + attempt.txn.encode()
         pause = Backoff(FIRST_PAUSE, LONGEST_PAUSE, self._random)
-        outcome, _ = yield from self._asking(execution.instance, b"DELETE", target, limit)
+        outcome, _ = yield from self._asking(attempt.instance, b"DELETE", target, limit)
         while outcome is not Outcome.OK:
             # A kept connection may be gone or silent, and what was written to it lost. One that has just come
             # up surely carried it, even where the instance does not answer.
-            outcome, _ = yield from self._asking(execution.instance, b"DELETE", target, limit, fresh=True)
-            if outcome is Outcome.TIMEOUT or self._settings.second_copies or execution.over:
+            outcome, _ = yield from self._asking(attempt.instance, b"DELETE", target, limit, fresh=True)
+            if outcome is Outcome.TIMEOUT or self._settings.second_copies or attempt.over:
                 break
             # Guards against a second copy where none is allowed: an instance that can't be reached has not
-            # heard, and works on. The execution ends with its word, or with its time.
+            # heard, and works on. The attempt ends with its word, or with its time.
             if outcome is not Outcome.OK:
                 yield Wait(until=self._loop.now() + pause.failed())
         given()
--- a/pulleyroute/net/service_client.py
+++ b/pulleyroute/net/service_client.py
@@ -41,7 +41,7 @@
 SKIP_PAUSE = 2_000  # between two reads of what is beyond that
 MOVE_PAUSE = 10_000  # between two looks at what may move to another process by now
 MOST_MISSED = 4  # that do not go before the rest waits too
-HELD = 2  # requests held for each that may wait: executions go on for a while after their client left
+HELD = 2  # requests held for each that may wait: attempts go on for a while after their client left
 FULL_RETRY_AFTER = 1_000_000  # advice where there is no room for another request
 LABELS = ("slots", "memory")
 PASSED_ON = (b"idempotency-key", b"content-type", b"x-labels")
@@ -201,7 +201,7 @@
         connection.known = values["known"]
         first = None
         if "job" in values and self._host.knows(values["job"]["txn"]):
-            # Guards the one execution of an id: this one was asked for twice, here and there.
+            # Guards the one attempt of an id: this one was asked for twice, here and there.
             stream.resume(values["pending"], len(body))
             first = self._tell(stream, 502, b"failed", close=True)
         elif "job" in values:
--- a/pulleyroute/service/withheld.py
+++ b/pulleyroute/service/withheld.py
@@ -14,9 +14,9 @@
     """A host that can say what is out at one instance."""
 
     def out_at(self, instance: WorkerId) -> int:
-        """How many executions are out there, those on their way and those being given up among them."""
-        return sum(1 for job in self._jobs.values() for execution in job.executions
-                   if execution.instance == instance and not execution.over)
+        """How many attempts are out there, those on their way and those being given up among them."""
+        return sum(1 for job in self._jobs.values() for attempt in job.attempts
+                   if attempt.instance == instance and not attempt.over)
 
 
 class Withheld:
--- a/tests/grpc/scene.py
+++ b/tests/grpc/scene.py
@@ -259,7 +259,7 @@
         return True
 
     def done(self) -> bool:
-        """Nothing is left anywhere: no call, no execution, no held byte."""
+        """Nothing is left anywhere: no call, no attempt, no held byte."""
         for _ in range(5):
             self.loop.settle()
         left = len(self.front.calls) + self.host.held + self.back.open + self.front.ledger.held
--- a/tests/grpc/test_calls.py
+++ b/tests/grpc/test_calls.py
@@ -90,7 +90,7 @@
     assert scene.untouched() and scene.done()
 
 
-def test_a_request_too_large_to_keep_is_committed_to_its_execution():
+def test_a_request_too_large_to_keep_is_committed_to_its_attempt():
     scene = Scene(boxes=2, limits=FrontLimits(replay=10_000))
     call = scene.call(SAFE, b"a" * 30_000, end=False)
     seen = scene.arrived()
--- a/tests/grpc/test_campaign.py
+++ b/tests/grpc/test_campaign.py
@@ -24,7 +24,7 @@
 def test_no_rule_is_broken_and_a_seed_plays_the_same_again():
     first, second = play(), play()
     assert first.broken == []
-    assert first.executions > 200 and first.statuses[0] > 150 and len(first.acts) == 8
+    assert first.attempts > 200 and first.statuses[0] > 150 and len(first.acts) == 8
     assert (first.statuses, first.acts) == (second.statuses, second.acts)
 
 
@@ -37,9 +37,9 @@
 def test_a_dispatcher_that_resends_what_has_begun_is_caught(monkeypatch):
     begin = Host.begin
 
-    def forgetful(self, execution):
-        went = begin(self, execution)
-        self._by_txn[execution.txn].bound = None
+    def forgetful(self, attempt):
+        went = begin(self, attempt)
+        self._by_txn[attempt.txn].bound = None
         return went
 
     monkeypatch.setattr(Host, "begin", forgetful)
--- a/tests/net/scene.py
+++ b/tests/net/scene.py
@@ -199,15 +199,15 @@
         self.loop.until(lambda: peer.pull() is not None and peer.ended)
 
     def take(self, txn: str, accept: bool = True) -> tuple[str, Peer]:
-        """Play the instance that the job's last execution went to: its name and the connection."""
+        """Play the instance that the job's last attempt went to: its name and the connection."""
         self.loop.until(lambda: self.host.knows(txn))
-        execution = self.host._by_txn[txn].executions[-1]
-        peer = self.runners[execution.instance.decode()].accept()
+        attempt = self.host._by_txn[txn].attempts[-1]
+        peer = self.runners[attempt.instance.decode()].accept()
         peer.message()
         if accept:
             peer.send(TAKEN)
-            self.loop.until(lambda: execution.accepted)
-        return execution.instance.decode(), peer
+            self.loop.until(lambda: attempt.accepted)
+        return attempt.instance.decode(), peer
 
     def operator(self, data: bytes = b"") -> Peer:
         peer = Peer(self.loop, socket.create_connection(self.door.listener.address))
--- a/tests/net/test_deployments.py
+++ b/tests/net/test_deployments.py
@@ -50,7 +50,7 @@
     _, peer = scene.take("t1", accept=False)
     peer.send(b"HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nX-Pressure: " + spoilt + b"\r\n"
               b"Content-Length: 0\r\n\r\n")
-    scene.loop.until(lambda: scene.host._by_txn["t1"].executions[0].nacked)
+    scene.loop.until(lambda: scene.host._by_txn["t1"].attempts[0].nacked)
     assert worker(scene, "s-0").most == 0 and not scene.host.faults and not scene.loop.errors
     assert len([line for line in logged if "s-0: its load report is spoilt" in line]) == 1
     assert not client.pull()  # it is tried again
@@ -75,7 +75,7 @@
     worker(scene, other).free = worker(scene, other).most = 8.0
     worker(scene, other).report_at = scene.loop.time
     scene.loop.skip(1200 * MS)
-    assert (len(scene.host._by_txn["t1"].executions) > 1) is tells and client.sock and peer.sock
+    assert (len(scene.host._by_txn["t1"].attempts) > 1) is tells and client.sock and peer.sock
 
 
 @pytest.mark.parametrize("copies", [True, False])
@@ -87,15 +87,15 @@
     other = next(name for name in scene.runners if name != first)
     worker(scene, other).free = worker(scene, other).most = 8.0
     worker(scene, other).report_at = scene.loop.time
-    executions = scene.host._by_txn["t1"].executions
+    attempts = scene.host._by_txn["t1"].attempts
     scene.loop.skip(1200 * MS)
     scene.loop.settle()
-    assert (len(executions) > 1) is copies
+    assert (len(attempts) > 1) is copies
     assert peer.message()[0].startswith(b"DELETE /jobs/t1 ")
     peer.send(b"HTTP/1.1 204 Gone\r\nContent-Length: 0\r\n\r\n")
-    scene.loop.until(lambda: executions[0].over)
+    scene.loop.until(lambda: attempts[0].over)
     scene.loop.skip(1200 * MS)
-    assert len(executions) > 1 and client.sock
+    assert len(attempts) > 1 and client.sock
 
 
 @pytest.mark.parametrize("cancels", [True, False])
@@ -116,28 +116,28 @@
     _, peer = scene.take("t1", accept=False)
     if waited:
         peer.send(TAKEN)
-        scene.loop.until(lambda: scene.host._by_txn["t1"].executions[0].accepted)
+        scene.loop.until(lambda: scene.host._by_txn["t1"].attempts[0].accepted)
         scene.loop.skip(waited)
-        scene.call(**{"id": "t1", "from": scene.host._by_txn["t1"].executions[0].instance.decode(),
+        scene.call(**{"id": "t1", "from": scene.host._by_txn["t1"].attempts[0].instance.decode(),
                       "state": "lost"})
     else:
         peer.close()
-        scene.loop.until(lambda: scene.host._by_txn["t1"].executions[0].over)
+        scene.loop.until(lambda: scene.host._by_txn["t1"].attempts[0].over)
     if again:
         scene.loop.skip(SECOND)
-        assert len(scene.host._by_txn["t1"].executions) == 2
+        assert len(scene.host._by_txn["t1"].attempts) == 2
     else:
         assert b" 502 " in client.message()[0]
 
 
 @pytest.mark.parametrize("most", [2, 5])
-def test_a_job_has_as_many_executions_as_the_settings_allow(most):
+def test_a_job_has_as_many_attempts_as_the_settings_allow(most):
     scene = Scene(instances=6, info=settings(caps={"max-attempts": most}))
     for runner in scene.runners.values():
         runner.sock.close()  # each refuses its connection: the job never runs
     client = scene.ask()
     scene.loop.until(lambda: scene.host.knows("t1"))
-    tried = scene.host._by_txn["t1"].executions
+    tried = scene.host._by_txn["t1"].attempts
     while scene.host.open:
         scene.loop.settle()
         scene.loop.skip(100 * MS)
--- a/tests/net/test_duty.py
+++ b/tests/net/test_duty.py
@@ -45,9 +45,9 @@
 
 
 def done(scene, txn):
-    (execution,) = scene.host._by_txn[txn].executions
-    scene.loop.until(lambda: execution.written)
-    assert b" 204 " in scene.call(id=txn, state="done", result="r", **{"from": execution.instance.decode()})
+    (attempt,) = scene.host._by_txn[txn].attempts
+    scene.loop.until(lambda: attempt.written)
+    assert b" 204 " in scene.call(id=txn, state="done", result="r", **{"from": attempt.instance.decode()})
 
 
 def test_a_drain_sends_clients_elsewhere_and_loses_nothing():
--- a/tests/net/test_handover.py
+++ b/tests/net/test_handover.py
@@ -77,7 +77,7 @@
 
 
 def open_job(scene, path, txn, accept=True):
-    """A job, and the instance's end of the connection that its execution went out on."""
+    """A job, and the instance's end of the connection that its attempt went out on."""
     return scene.ask(path, txn), *scene.take(txn, accept)
 
 
@@ -131,7 +131,7 @@
     if not again:  # it may have run: never twice, through whatever process
         assert b" 502 " in client.message()[0]
         return
-    assert len(new.host._by_txn["t1"].executions) == 2
+    assert len(new.host._by_txn["t1"].attempts) == 2
     second, _ = new.take("t1")
     assert second != instance
     told(new, "t1", second)
@@ -170,7 +170,7 @@
     assert client.message()[1] == b"of t1"
 
 
-def test_a_job_that_is_there_twice_has_one_execution_and_each_client_an_answer(old):
+def test_a_job_that_is_there_twice_has_one_attempt_and_each_client_an_answer(old):
     client, instance, _ = open_job(old, "/charge", "t1")
     new = old.next(listens=False)
     receive = ServiceClient.receive
@@ -286,10 +286,10 @@
         if not stays.host.knows(txn):
             stays.gone(client)
             continue
-        (execution,) = stays.host._by_txn[txn].executions
-        if not execution.accepted:
+        (attempt,) = stays.host._by_txn[txn].attempts
+        if not attempt.accepted:
             peer.send(TAKEN)
-            stays.loop.until(lambda e=execution: e.accepted)
+            stays.loop.until(lambda e=attempt: e.accepted)
         assert b" 204 " in told(stays, txn, instance)
         assert client.message()[1] == f"of {txn}".encode()
     assert stays.known()
--- a/tests/net/test_history.py
+++ b/tests/net/test_history.py
@@ -62,7 +62,7 @@
         for old in (s for s in self.sent if s.txn == new.txn):
             ended = old.over or old.deleted or old.peer.ended
             assert path == "/read" or old.unrun, "an unsafe request went out again"
-            assert old.name != new.name or ended, "two executions of a request at one instance"
+            assert old.name != new.name or ended, "two attempts of a request at one instance"
         self.sent.append(new)
 
     def check(self):
--- a/tests/net/test_host.py
+++ b/tests/net/test_host.py
@@ -149,7 +149,7 @@
 
 
 def test_a_time_out_leaves_the_client_no_time_to_come_again():
-    # Guards against a margin so wide that a retry with no chance goes out and costs an execution.
+    # Guards against a margin so wide that a retry with no chance goes out and costs an attempt.
     scene = Scene()
     client = scene.ask()
     sent(scene)
@@ -198,7 +198,7 @@
 
 
 def test_a_request_is_never_twice_at_one_instance_unless_the_first_proved_unrun():
-    # Guards against calls of an earlier execution that would be taken for a later one's.
+    # Guards against calls of an earlier attempt that would be taken for a later one's.
     scene = Scene()
     client = scene.ask("/read")
     runner, _ = sent(scene)
@@ -247,7 +247,7 @@
     client = scene.ask("/charge")
     scene.loop.until(lambda: scene.host.open)
     job = scene.host._jobs[1]
-    job.executions.clear()
+    job.attempts.clear()
     scene.host._refuse(Refuse(1, retry_after=9 * SECOND))
     head, _ = client.message()
     assert b" 503 " in head and b"Retry-After: 2.000" in head  # what clients heed at most
--- a/tests/net/test_instance.py
+++ b/tests/net/test_instance.py
@@ -1,4 +1,4 @@
-"""Load reports, and executions against scripted instances on loopback."""
+"""Load reports, and attempts against scripted instances on loopback."""
 
 import socket
 
@@ -123,7 +123,7 @@
         txn = f"t{n}"
         client = scene.ask(txn=txn)
         scene.loop.until(lambda txn=txn: scene.host.knows(txn))
-        name = scene.host._by_txn[txn].executions[0].instance.decode()
+        name = scene.host._by_txn[txn].attempts[0].instance.decode()
         if not seen or seen[-1] != name:
             open_at = {name: scene.runners[name].accept()}
         open_at[name].message()
--- a/tests/net/test_management.py
+++ b/tests/net/test_management.py
@@ -81,7 +81,7 @@
     seen: Counter[str] = Counter()
 
     def carry(client) -> None:
-        """Play the instances' part until the job has its answer, each execution ending in a drawn way."""
+        """Play the instances' part until the job has its answer, each attempt ending in a drawn way."""
         while not client.pull():
             scene.loop.settle()
             for name, listener in scene.runners.items():
--- a/tests/net/test_rare_moments.py
+++ b/tests/net/test_rare_moments.py
@@ -204,4 +204,4 @@
     fresh.send(TAKEN)
     scene.loop.settle()
     scene.loop.skip(2 * SECOND)
-    assert runner.data == b"" and scene.host.open == 1 and len(scene.host._by_txn["t2"].executions) == 1
+    assert runner.data == b"" and scene.host.open == 1 and len(scene.host._by_txn["t2"].attempts) == 1
--- a/tests/net/test_reload.py
+++ b/tests/net/test_reload.py
@@ -62,7 +62,7 @@
         instance, _ = scene.take(txn)
         scene.call(**{"id": txn, "from": instance, "state": "lost"})
         scene.loop.skip(1_000_000)
-        again = scene.host.knows(txn) and len(scene.host._by_txn[txn].executions) > 1
+        again = scene.host.knows(txn) and len(scene.host._by_txn[txn].attempts) > 1
         assert again is (effect == "read_like")
         assert (b" 502 " in jobs[txn].pull()) is (effect == "non_idempotent")
 
@@ -75,12 +75,12 @@
     adopt(scene, caps={**INFO["caps"], "max-attempts": after})
     job = scene.host._by_txn["t1"]
     while scene.host.open:
-        out = [e for e in job.executions if not e.over]
+        out = [e for e in job.attempts if not e.over]
         if out:  # it is connected and reset: it may be repeated
             scene.runners[out[0].instance.decode()].accept().close()
             scene.loop.until(lambda e=out[0]: e.over)
         scene.loop.skip(20_000)
-    assert len(job.executions) == before and b" 502 " in client.message()[0]
+    assert len(job.attempts) == before and b" 502 " in client.message()[0]
 
 
 def test_zones_and_kinds_keep_their_numbers_when_the_lists_change_their_order():
--- a/tests/net/test_service_client.py
+++ b/tests/net/test_service_client.py
@@ -110,7 +110,7 @@
         scene.runners["s-0"].accept().message()
         client.close()
         scene.loop.until(lambda: not scene.host.open)
-    assert scene.host.held == 2  # the executions are still out
+    assert scene.host.held == 2  # the attempts are still out
     assert b" 503 " in scene.ask(txn="t9").message()[0]
 
 
@@ -216,8 +216,8 @@
     scene = Scene(instances=3)
 
     def done(txn):
-        (execution,) = scene.host._by_txn[txn].executions
-        scene.call(**{"id": txn, "from": execution.instance.decode(), "state": "done", "result": "r"})
+        (attempt,) = scene.host._by_txn[txn].attempts
+        scene.call(**{"id": txn, "from": attempt.instance.decode(), "state": "done", "result": "r"})
 
     idle, kept, early = scene.client(), scene.ask("/charge", "t1"), scene.ask("/charge", "t2")
     scene.loop.until(lambda: scene.host.open == 2)
