--- a/pulleyroute/__main__.py
+++ b/pulleyroute/__main__.py
@@ -20,6 +20,7 @@
 from pulleyroute.net import log
 from pulleyroute.net.buffers import BufferPool, Ledger
 from pulleyroute.net.config import Config, ConfigError, load_config
+from pulleyroute.net.discovery import DiscoveryClient
 from pulleyroute.net.duty import Phase
 from pulleyroute.net.figures import Figures, Gauges
 from pulleyroute.net.handover import Handover, inherited, place
@@ -27,7 +28,6 @@
 from pulleyroute.net.instance import Instances
 from pulleyroute.net.loop import Loop
 from pulleyroute.net.management import DESCRIPTORS, Management, verbs
-from pulleyroute.net.name_table import NameTable
 from pulleyroute.net.process import catch_signals, descriptors, heeding, on_error
 from pulleyroute.net.service_client import ServiceClient
 
@@ -55,7 +55,7 @@
 
     config: Config
     ledger: Ledger
-    names: NameTable
+    discovery: DiscoveryClient
     instances: Instances
     clients: ServiceClient
     host: Host
@@ -75,7 +75,7 @@
 
     def gauges(self) -> Gauges:
         """What is so at the moment."""
-        return Gauges(self.host.open, self.names.size, self.host.avoided)
+        return Gauges(self.host.open, self.discovery.size, self.host.avoided)
 
     def standby(self) -> None:
         """Drain, and stay."""
@@ -89,7 +89,7 @@
 
     def adopt(self, settings: Settings) -> Settings:
         """Other settings, in all the parts at once: as they are in force."""
-        settings = self.names.adopt(settings)
+        settings = self.discovery.adopt(settings)
         for part in (self.instances, self.host, self.clients):
             part.adopt(settings)
         return settings
@@ -122,30 +122,30 @@
     """
     pool, ledger = BufferPool(), Ledger(readable(config))
     epoch = time.time_ns() // 1000 - loop.now()
-    names = NameTable(loop, pool, config.discovery, config.settings, epoch, config.seed + 1)
+    discovery = DiscoveryClient(loop, pool, config.discovery, config.settings, epoch, config.seed + 1)
     figures = Figures()
     budget = budget_of(config)
-    instances = Instances(loop, pool, names, config.settings, int(budget * INSTANCE_SHARE), figures,
+    instances = Instances(loop, pool, discovery, config.settings, int(budget * INSTANCE_SHARE), figures,
                           config.seed + 2)
-    host = Host(loop, config.settings, config.seed, names, instances)
+    host = Host(loop, config.settings, config.seed, discovery, instances)
     if config.known is not None:
         try:
-            names.load_known(config.known)
+            discovery.load_known(config.known)
         except ValueError as exc:
             raise ConfigError(f"known: {exc}") from None
     clients = ServiceClient(
         loop, pool, ledger, host, config.settings, int(budget * CLIENT_SHARE), int(budget * JOB_SHARE),
         figures)
-    parts = Parts(config, ledger, names, instances, clients, host, figures)
+    parts = Parts(config, ledger, discovery, instances, clients, host, figures)
     if listener is None:
         listening(config.listen, clients.listen)
     if config.management is not None:
         listening(config.management, Management(loop, pool, verbs(parts)).listen)
     if listener is not None:
         meeting = place(os.environ.get("TMPDIR") or "/tmp", listener)
-        handover = Handover(loop, meeting, clients, host, names, parts)
+        handover = Handover(loop, meeting, clients, host, discovery, parts)
         loop.spawn(handover.take_over(listener), "hand-over start")
-    names.begin()
+    discovery.begin()
     return parts
 
 
@@ -188,7 +188,7 @@
         if getattr(config, name) != getattr(old, name):
             logger.warning("a change of {} needs a restart", name)
     parts.figures.conf_loaded += 1
-    parts.names.move(config.discovery)
+    parts.discovery.move(config.discovery)
     old.settings = parts.adopt(config.settings)
     old.discovery, old.sockets, old.memory_mb = config.discovery, config.sockets, config.memory_mb
     old.shape = config.shape
--- a/pulleyroute/grpc/back.py
+++ b/pulleyroute/grpc/back.py
@@ -15,13 +15,13 @@
 from pulleyroute.grpc.messages import read_load
 from pulleyroute.interface import LoadReport, Outcome, Settings, WorkerId
 from pulleyroute.net.buffers import BufferPool
+from pulleyroute.net.discovery import DiscoveryClient
 from pulleyroute.net.figures import Figures
 from pulleyroute.net.host import Host
 from pulleyroute.net.http import Broken, Crowded, Headers, Late, dial
 from pulleyroute.net.http2 import Code, Http2, Limits
 from pulleyroute.net.instance import Attempt, Ended, Gate, Probed, Rejected
 from pulleyroute.net.loop import Coroutine, Loop, Task, Wait
-from pulleyroute.net.name_table import NameTable
 from pulleyroute.net.tls import Tls
 
 CONNECT_TIME = 1_000_000  # where the settings name no limit; up to the peer's first SETTINGS
@@ -45,11 +45,12 @@
 class Calls:
     """Owns every connection to a pool's instances and the attempts on them. A `host.Back`."""
 
-    def __init__(self, loop: Loop, pool: BufferPool, names: NameTable, settings: Settings, limits: Limits,
-                 slots: float = SLOTS, message_bytes: int = 0, context: ssl.SSLContext | None = None,
-                 server_name: str = "", figures: Figures | None = None) -> None:
+    def __init__(self, loop: Loop, pool: BufferPool, discovery: DiscoveryClient, settings: Settings,
+                 limits: Limits, slots: float = SLOTS, message_bytes: int = 0,
+                 context: ssl.SSLContext | None = None, server_name: str = "",
+                 figures: Figures | None = None) -> None:
         self._figures = figures or Figures()
-        self._loop, self._pool, self._names, self._settings = loop, pool, names, settings
+        self._loop, self._pool, self._discovery, self._settings = loop, pool, discovery, settings
         self.limits, self.slots, self.message_bytes = limits, slots, message_bytes
         self.context, self.server_name = context, server_name
         self._sites: dict[WorkerId, Site] = {}
@@ -157,7 +158,7 @@
         Guards the descriptors where instances come and go: the connections would stay open for ever.
         """
         for instance, site in list(self._sites.items()):
-            if not self._names.active(instance) and not site.out:
+            if not self._discovery.active(instance) and not site.out:
                 for connection in list(site.connections):
                     connection.close("the instance has left")
                 if not site.connections and site.connecting is None:
@@ -176,9 +177,9 @@
         limit = self._loop.now() + (self._settings.connect_timeout or CONNECT_TIME)
         connection: Http2 | None = None
         try:
-            member = self._names.member(instance)
+            member = self._discovery.member(instance)
             if member is None:
-                raise Broken("not in the name table")
+                raise Broken("not in the discovery client")
             sock = yield from dial(self._loop, member.address, limit)
             tls = None
             if self.context is not None:
--- a/pulleyroute/lab/campaign.py
+++ b/pulleyroute/lab/campaign.py
@@ -22,10 +22,10 @@
 from pulleyroute.grpc.health import Health
 from pulleyroute.interface import Effect, JobClass, ReportSource, Settings
 from pulleyroute.net.buffers import BufferPool
+from pulleyroute.net.discovery import DiscoveryClient
 from pulleyroute.net.host import Host
 from pulleyroute.net.http import Headers
 from pulleyroute.net.http2 import Code, Http2, Limits, Stream
-from pulleyroute.net.name_table import NameTable
 
 SECOND = 1_000_000
 # "gRPC over HTTP2", errors: the judge's own copy, by HTTP/2 code.
@@ -120,10 +120,10 @@
         self.boxes = [FaultyBox(self.loop, f"b-{i}", self.script) for i in range(boxes)]
         for box in self.boxes:
             box.start()
-        self.names = NameTable(self.loop, self._buffers, ("127.0.0.1", 1), self.settings, 0)
-        self.back = Calls(self.loop, self._buffers, self.names, self.settings,
+        self.discovery = DiscoveryClient(self.loop, self._buffers, ("127.0.0.1", 1), self.settings, 0)
+        self.back = Calls(self.loop, self._buffers, self.discovery, self.settings,
                           Limits(idle=0, ping_after=5 * SECOND, ping_patience=2 * SECOND), 50)
-        self.host = self.back.host = Host(self.loop, self.settings, seed, self.names, self.back)
+        self.host = self.back.host = Host(self.loop, self.settings, seed, self.discovery, self.back)
         self._list()
         routes = Routes([(Match("s.Safe"), Target(self.host, 0, 10 * SECOND)),
                          (Match("s.Unsafe"), Target(self.host, 1, 10 * SECOND))])
@@ -135,7 +135,7 @@
         return draw(random.Random(f"{self.seed}/{request}/{attempts}"))
 
     def _list(self) -> None:
-        self.names.load_known({"revision": 1, "complete": True, "members": [
+        self.discovery.load_known({"revision": 1, "complete": True, "members": [
             {"id": box.name, "host_port": "{}:{}".format(*box.address), "up_since_ms": 0,
              "phase": "leaving" if box.name in self.drained else "active"} for box in self.boxes]})
 
--- a/pulleyroute/net/name_table.py
+++ b/pulleyroute/net/discovery.py
@@ -1,4 +1,4 @@
-"""The name table: discovery's list of instances, as this dispatcher was told it, and how old that is.
+"""The discovery: discovery's list of instances, as this dispatcher was told it, and how old that is.
 
 It keeps a watch open from the start on, and opens it anew whenever it ends or falls silent, so that what
 discovery has to tell is heard in time. Where the list is asked for, one discovery serves the whole fleet, and
@@ -54,7 +54,7 @@
 
 @dataclass(slots=True)
 class Member:
-    """One instance in the name table."""
+    """One instance in the discovery client."""
 
     address: tuple[str, int]
     active: bool
@@ -89,7 +89,7 @@
             raise Broken("a word is too long")
 
 
-class NameTable:
+class DiscoveryClient:
     """Owns the list, its version and the calls to discovery; tells each change as a `WorkerList`."""
 
     def __init__(
@@ -208,7 +208,7 @@
         self._loop.spawn(self._fetching(), "fetch")
 
     def _failed(self, what: str, why: object) -> None:
-        logger.bind(event="names.failed", call=what).warning("name table: {} failed: {}", what, why)
+        logger.bind(event="discovery.failed", call=what).warning("discovery: {} failed: {}", what, why)
         self.tell(WorkerList(self._version, ListKind.FAILED, []))
 
     def _call(self, target: bytes) -> Coroutine[Stream]:
@@ -265,7 +265,7 @@
                 why = str(exc) or "no line in time"
                 if self._loop.now() < self._patient_until:
                     # Guards the time limit after a move, which the module's longer pauses would pass.
-                    logger.info("name table: {}:{} failed: {}", *self._discovery, why)
+                    logger.info("discovery: {}:{} failed: {}", *self._discovery, why)
                     yield Wait(until=self._loop.now() + int(self._random.random() * MOVE_PAUSE))
                     continue
                 yield from self._resting(opened, why)
@@ -291,7 +291,7 @@
             answer = yield from stream.answer_head(self._loop.now() + FETCH_TIME)
             if answer.status != 200:
                 raise Broken(f"status {answer.status}")
-            logger.bind(event="names.watching").info("name table: watching {}:{} from version {}",
+            logger.bind(event="discovery.watching").info("discovery: watching {}:{} from version {}",
                                                      *self._discovery, self._version)
             words, heard = Words(), self._loop.now()
             while True:
@@ -331,8 +331,8 @@
             return False
         if self._back_since is None:
             self._back_since = self._loop.now()
-            logger.bind(event="names.older", version=version).warning(
-                "name table: version {} after {} is passed over", version, self._version)
+            logger.bind(event="discovery.older", version=version).warning(
+                "discovery: version {} after {} is passed over", version, self._version)
         elif self._loop.now() - self._back_since >= BACK_TIME:
             self._moved = True
             raise Broken("versions have begun anew")
@@ -372,8 +372,8 @@
                 item)
         self._version = version
         changes = ", ".join(f"{e.worker.decode()} {e.state.name.lower()}" for e, _ in read[:8])
-        logger.bind(event="names.changed", version=version).info(
-            "name table: version {} {}, {} entries: {}", version, kind.name.lower(), len(read), changes)
+        logger.bind(event="discovery.changed", version=version).info(
+            "discovery: version {} {}, {} entries: {}", version, kind.name.lower(), len(read), changes)
         return WorkerList(version, kind, [entry for entry, _ in read])
 
     def _entry(self, item: Any) -> tuple[Entry, tuple[str, int]]:
--- a/pulleyroute/net/handover.py
+++ b/pulleyroute/net/handover.py
@@ -28,10 +28,10 @@
 
 from loguru import logger
 
+from pulleyroute.net.discovery import DiscoveryClient
 from pulleyroute.net.duty import Phase
 from pulleyroute.net.host import Call, Host
 from pulleyroute.net.loop import READABLE, WRITABLE, Coroutine, Loop, Task, Wait
-from pulleyroute.net.name_table import NameTable
 from pulleyroute.net.service_client import ServiceClient, read_call
 
 VERSION = 1
@@ -171,10 +171,10 @@
 class Handover:
     """Owns the meeting place and the links: to the process before this one, and to the one after it."""
 
-    def __init__(self, loop: Loop, path: str, clients: ServiceClient, host: Host, names: NameTable,
+    def __init__(self, loop: Loop, path: str, clients: ServiceClient, host: Host, discovery: DiscoveryClient,
                  budgets: Budgets) -> None:
         """`path`: the meeting place, from `place`."""
-        self._loop, self._clients, self._host, self._names = loop, clients, host, names
+        self._loop, self._clients, self._host, self._discovery = loop, clients, host, discovery
         self._budgets = budgets
         self._path = path
         self._door: socket.socket | None = None
@@ -253,9 +253,9 @@
         try:
             for values in state:
                 if values.get("list") is not None:
-                    self._names.load_known(values["list"])
+                    self._discovery.load_known(values["list"])
                     # At once: what discovery has told the old one since is not to be missed.
-                    self._names.watch(True)
+                    self._discovery.watch(True)
                 for item in values.get("known", []):
                     self._host.learn(item, link.shift)
         except Exception as exc:
@@ -332,10 +332,10 @@
     def _telling(self, link: Link) -> Coroutine[None]:
         """Tell the state, in parts that a socket takes."""
         known = self._host.knowledge()
-        members = self._names.entries()
+        members = self._discovery.entries()
         parts: list[Values] = [{"phase": self._clients.duty.phase.value}]
         # The list first: what is known of an instance goes to one that is listed.
-        parts.append({"list": {"revision": self._names.version, "complete": True, "members": members}})
+        parts.append({"list": {"revision": self._discovery.version, "complete": True, "members": members}})
         parts += [{"known": known[at:at + PART]} for at in range(0, len(known), PART)]
         for number, part in enumerate(parts):
             values = {**part, "version": VERSION, "now": self._loop.now(), "last": number == len(parts) - 1}
--- a/pulleyroute/net/host.py
+++ b/pulleyroute/net/host.py
@@ -17,10 +17,10 @@
 from pulleyroute import recall
 from pulleyroute.interface import Effect, JobClass, Outcome, Scope, Settings, WorkerId
 from pulleyroute.net import log
+from pulleyroute.net.discovery import DiscoveryClient
 from pulleyroute.net.http import Headers
 from pulleyroute.net.instance import Attempt, Ended, Gate, Probed, Rejected
 from pulleyroute.net.loop import Loop, Timer
-from pulleyroute.net.name_table import NameTable
 from pulleyroute.rules import PROVEN_NOT_RUN, Dispatcher
 
 # Answers leave this long before the client gives up. Guards the one answer in time; much more would leave a
@@ -153,11 +153,11 @@
     """Owns the dispatcher, the jobs, their attempts and deadlines."""
 
     def __init__(
-        self, loop: Loop, settings: Settings, seed: int, names: NameTable, instances: Back
+        self, loop: Loop, settings: Settings, seed: int, discovery: DiscoveryClient, instances: Back
     ) -> None:
         self._loop = loop
         self._settings = settings
-        self._names = names
+        self._discovery = discovery
         self._instances = instances
         self._dispatcher = Dispatcher(settings, seed, loop.now())
         self._jobs: dict[int, Job] = {}
@@ -169,7 +169,7 @@
         self.open = 0  # requests that still wait for their answer
         self.faults = 0  # exceptions of the module
         self.retired = False  # no request comes any more: with the last one its timers end
-        names.tell = self.post
+        discovery.tell = self.post
         instances.ended = self.settle
         instances.gate = self._may_begin
         instances.rejected = self._reject
@@ -181,8 +181,8 @@
             api.Cancel: self._cancel,
             api.Probe: lambda action: self._instances.probe(action.worker),
             api.SetTimer: self._set_timer,
-            api.Subscribe: lambda action: self._names.watch(action.on),
-            api.FetchList: lambda action: self._names.fetch(),
+            api.Subscribe: lambda action: self._discovery.watch(action.on),
+            api.FetchList: lambda action: self._discovery.fetch(),
             api.CloseIdle: lambda action: self._instances.close_idle(action.worker),
             api.Tell: lambda action: logger.debug("no protocol carries messages between dispatchers"),
             api.Log: lambda action: logger.info("module: {}", action.text),
@@ -508,7 +508,7 @@
             txn=request.txn, index=len(job.attempts), instance=instance, method=request.method,
             target=request.target, headers=request.headers, body=request.body, sent=sent,
             timeout_at=timeout_at, repeatable=effect is Effect.SAFE, call=request.call,
-            unsafe=effect is Effect.UNSAFE, incarnation=self._names.incarnation(instance),
+            unsafe=effect is Effect.UNSAFE, incarnation=self._discovery.incarnation(instance),
         )
 
     def _may_begin(self, attempt: Attempt) -> bool:
@@ -529,10 +529,10 @@
         return True
 
     def _allowed(self, job: Job, attempt: Attempt) -> bool:
-        now, instance = self._loop.now(), attempt.instance
+        now, instance, discovery = self._loop.now(), attempt.instance, self._discovery
         if now >= attempt.timeout_at:
             return False
-        if not self._names.active(instance) or self._names.incarnation(instance) != attempt.incarnation:
+        if not discovery.active(instance) or discovery.incarnation(instance) != attempt.incarnation:
             # Guards the drain rule, and an instance that has started anew: it is cold now, and what the
             # decisions counted for it was another's.
             return False
--- a/pulleyroute/net/instance.py
+++ b/pulleyroute/net/instance.py
@@ -16,10 +16,10 @@
 from pulleyroute.net import log
 from pulleyroute.net.backoff import Backoff
 from pulleyroute.net.buffers import BufferPool
+from pulleyroute.net.discovery import DiscoveryClient
 from pulleyroute.net.figures import Figures
 from pulleyroute.net.http import Broken, Crowded, Headers, Late, Malformed, Message, Stream, connect
 from pulleyroute.net.loop import Coroutine, Loop, Task, Timer, Wait
-from pulleyroute.net.name_table import NameTable
 
 PROBE_TIME = 500_000
 GIVE_UP_TIME = 1_000_000  # for a DELETE and its answer
@@ -108,12 +108,12 @@
     """Owns every connection to an instance."""
 
     def __init__(
-        self, loop: Loop, pool: BufferPool, names: NameTable, settings: Settings, most: int,
+        self, loop: Loop, pool: BufferPool, discovery: DiscoveryClient, settings: Settings, most: int,
         figures: Figures | None = None, seed: int = 0,
     ) -> None:
         self._loop = loop
         self._pool = pool
-        self._names = names
+        self._discovery = discovery
         self._random = Random(seed)
         self.adopt(settings)
         self._most = most  # connections at once
@@ -153,7 +153,7 @@
             idle.remove(kept)
             # Guards against the instance's time limit: a request on a connection that it closes is a reset;
             # and against a connection to a process before the one that is listed.
-            if (silent < self._idle_time and kept.incarnation == self._names.incarnation(instance)
+            if (silent < self._idle_time and kept.incarnation == self._discovery.incarnation(instance)
                     and kept.stream.reusable()):
                 return kept.stream
             self._drop(kept.stream)
@@ -166,9 +166,9 @@
 
     def _open(self, instance: WorkerId) -> Coroutine[Stream]:
         """A new connection."""
-        member = self._names.member(instance)
+        member = self._discovery.member(instance)
         if member is None:
-            raise Broken("not in the name table")
+            raise Broken("not in the discovery client")
         if self._count >= self._most:
             self._drop_oldest()
         if self._count >= self._most:
@@ -220,7 +220,7 @@
 
     def _frame(self, stream: Stream, instance: WorkerId, method: bytes, target: bytes,
                headers: Headers, body: bytes = b"") -> bytes:
-        member = self._names.member(instance)
+        member = self._discovery.member(instance)
         host = f"{member.address[0]}:{member.address[1]}".encode() if member else b"-"
         if method != b"GET":
             headers = [*headers, (b"Content-Length", b"%d" % len(body))]
@@ -352,7 +352,7 @@
     ) -> Coroutine[tuple[Outcome, Message | None]]:
         """A small request with its answer; with `fresh` on a new connection."""
         stream = None
-        until, incarnation = self._loop.now() + limit, self._names.incarnation(instance)
+        until, incarnation = self._loop.now() + limit, self._discovery.incarnation(instance)
         written = False
         try:
             stream = None if fresh else self._kept(instance)
--- a/pulleyroute/service/assembly.py
+++ b/pulleyroute/service/assembly.py
@@ -21,13 +21,13 @@
 from pulleyroute.grpc.health import Health
 from pulleyroute.interface import Settings, WorkerId
 from pulleyroute.net.buffers import BufferPool, Ledger
+from pulleyroute.net.discovery import DiscoveryClient
 from pulleyroute.net.duty import Duty, Phase
 from pulleyroute.net.figures import Ended, Figures, Gauges
 from pulleyroute.net.http2 import Limits
 from pulleyroute.net.instance import Instances
 from pulleyroute.net.loop import Loop
 from pulleyroute.net.management import DESCRIPTORS, Management, verbs
-from pulleyroute.net.name_table import NameTable
 from pulleyroute.net.process import descriptors
 from pulleyroute.net.service_client import ServiceClient
 from pulleyroute.net.tls import Files, client_context, server_context
@@ -52,7 +52,7 @@
 
     pool: Pool
     settings: Settings
-    names: NameTable
+    discovery: DiscoveryClient
     host: FleetHost
     back: Calls | Instances
     withheld: Withheld
@@ -110,7 +110,7 @@
         """What is so at the moment, over all pools."""
         pools = list(self.pools.values())
         return Gauges(sum(each.host.open for each in pools + self._retired),
-                      sum(each.names.size for each in pools), sum(each.host.avoided for each in pools))
+                      sum(each.discovery.size for each in pools), sum(each.host.avoided for each in pools))
 
     def standby(self) -> None:
         """Drain, and stay: jobs' clients are sent elsewhere, and health says that nothing is served."""
@@ -150,7 +150,7 @@
         if running is None:
             return None
         return [Runner(str(entry["id"]), str(entry.get("locality", "")), str(entry.get("flavor", "")),
-                       entry.get("phase") == "active") for entry in running.names.entries()]
+                       entry.get("phase") == "active") for entry in running.discovery.entries()]
 
     def withhold(self, marked: set[tuple[str, str]]) -> None:
         """Give these instances, each of a pool, nothing new from now on, and no others."""
@@ -230,40 +230,40 @@
 
     def _pool(self, config: Config, pool: Pool, context: ssl.SSLContext | None) -> Running:
         settings = pool_settings(config, pool)
-        names = NameTable(self._loop, self._buffers, pool.discovery or NOWHERE, settings, self._epoch,
-                          self._random.getrandbits(64))
+        discovery = DiscoveryClient(self._loop, self._buffers, pool.discovery or NOWHERE, settings,
+                                    self._epoch, self._random.getrandbits(64))
         back: Calls | Instances
         if pool.protocol == "grpc":
             limits = Limits(window=pool.window, ping_after=pool.ping_after, ping_patience=pool.ping_patience,
                             idle=0)
-            back = Calls(self._loop, self._buffers, names, settings, limits, pool.slots, pool.message,
+            back = Calls(self._loop, self._buffers, discovery, settings, limits, pool.slots, pool.message,
                          context,
                          pool.tls.server_name if pool.tls is not None else "", self.figures)
         else:
-            back = Instances(self._loop, self._buffers, names, settings, int(self._budget * INSTANCE_SHARE),
-                             self.figures)
-        host = FleetHost(self._loop, settings, self._random.getrandbits(64), names, back)
+            back = Instances(self._loop, self._buffers, discovery, settings,
+                             int(self._budget * INSTANCE_SHARE), self.figures)
+        host = FleetHost(self._loop, settings, self._random.getrandbits(64), discovery, back)
         if isinstance(back, Calls):
             back.host = host
         withheld = Withheld(host.post)
-        names.tell = withheld.hear
-        running = Running(pool, settings, names, host, back, withheld)
+        discovery.tell = withheld.hear
+        running = Running(pool, settings, discovery, host, back, withheld)
         if pool.instance:
-            names.load_known(known_list(pool, running.revision))
+            discovery.load_known(known_list(pool, running.revision))
         else:
-            names.load_known({"revision": 0, "complete": True, "members": []})
+            discovery.load_known({"revision": 0, "complete": True, "members": []})
             # At once: the decisions would ask within 2.5 s, spread for the sake of many that start together,
             # and until then there is nobody to take a job.
-            names.watch(True)
+            discovery.watch(True)
         return running
 
     def _renew(self, running: Running, pool: Pool, context: ssl.SSLContext | None) -> None:
         """A pool that stays: its instances, its discovery, its certificates."""
         if pool.instance and pool.instance != running.pool.instance:
             running.revision += 1
-            running.names.load_known(known_list(pool, running.revision))
+            running.discovery.load_known(known_list(pool, running.revision))
         if pool.discovery is not None and pool.discovery != running.pool.discovery:
-            running.names.move(pool.discovery)
+            running.discovery.move(pool.discovery)
         if isinstance(running.back, Calls):
             running.back.context = context
             running.back.server_name = pool.tls.server_name if pool.tls is not None else ""
@@ -315,7 +315,7 @@
             if not running.host.held:
                 if isinstance(running.back, Calls):
                     running.back.close()
-                running.names.watch(False)
+                running.discovery.watch(False)
                 self._retired.remove(running)
         self._leaving = [front for front in self._leaving if not front.idle]
         if self._retired or self._leaving:
--- a/pulleyroute/service/withheld.py
+++ b/pulleyroute/service/withheld.py
@@ -20,7 +20,7 @@
 
 
 class Withheld:
-    """Stands between a name table and the decisions. Owns which instances are withheld.
+    """Stands between a discovery client and the decisions. Owns which instances are withheld.
 
     `tell` passes a list on to the decisions.
     """
@@ -32,7 +32,7 @@
         self._version = 0
 
     def hear(self, news: WorkerList) -> None:
-        """The name table's news, passed on as the decisions are to have them."""
+        """The discovery client's news, passed on as the decisions are to have them."""
         self._version = news.version
         if news.kind in (ListKind.FULL, ListKind.CACHED):
             self._entries.clear()
--- a/tests/grpc/scene.py
+++ b/tests/grpc/scene.py
@@ -16,9 +16,9 @@
 from pulleyroute.grpc.messages import framed
 from pulleyroute.interface import Effect, JobClass, ReportSource, Settings
 from pulleyroute.net.buffers import BufferPool
+from pulleyroute.net.discovery import DiscoveryClient
 from pulleyroute.net.host import Host
 from pulleyroute.net.http2 import GracefulConnection, Limits
-from pulleyroute.net.name_table import NameTable
 from tests.net.scene import SECOND, StillLoop
 
 HEAD = [(":status", "200"), ("content-type", "application/grpc")]
@@ -204,9 +204,9 @@
                    JobClass("charge", Effect.UNSAFE, 2 * SECOND, 10 * SECOND, 1.0)]
         self.settings = Settings(classes, 1, 0, attempts, probes=True, max_retry_after=2 * SECOND,
                                  report_source=ReportSource.ANSWERS)
-        self.names = NameTable(self.loop, pool, ("127.0.0.1", 9), self.settings, 0)
-        self.back = Calls(self.loop, pool, self.names, self.settings, back or Limits(), slots)
-        self.host = self.back.host = Host(self.loop, self.settings, 1, self.names, self.back)
+        self.discovery = DiscoveryClient(self.loop, pool, ("127.0.0.1", 9), self.settings, 0)
+        self.back = Calls(self.loop, pool, self.discovery, self.settings, back or Limits(), slots)
+        self.host = self.back.host = Host(self.loop, self.settings, 1, self.discovery, self.back)
         self.boxes = {f"s-{i}": Box(self.loop, box) for i in range(boxes)}
         self.list(*self.boxes)
         routes = Routes([(Match("shop.Look"), Target(self.host, 0, 10 * SECOND)),
@@ -216,7 +216,7 @@
         self.front.listen(("127.0.0.1", 0))
 
     def list(self, *names: str, phase: str = "active") -> None:
-        self.names.load_known({"revision": 1, "complete": True, "members": [
+        self.discovery.load_known({"revision": 1, "complete": True, "members": [
             {"id": name, "host_port": "{}:{}".format(*self.boxes[name].sock.getsockname()), "phase": phase}
             for name in names]})
 
--- a/tests/grpc/test_campaign.py
+++ b/tests/grpc/test_campaign.py
@@ -52,8 +52,8 @@
 
 
 def test_a_dispatcher_that_forgets_the_drain_is_caught(monkeypatch):
-    from pulleyroute.net.name_table import NameTable
-    monkeypatch.setattr(NameTable, "active", lambda self, instance: True)
+    from pulleyroute.net.discovery import DiscoveryClient
+    monkeypatch.setattr(DiscoveryClient, "active", lambda self, instance: True)
     monkeypatch.setattr(Campaign, "_list", lambda self,
                         real=Campaign._list: None if self.drained else real(self))
     assert any("after its drain" in line for line in play(seed=3, calls=600).broken)
--- a/tests/net/scene.py
+++ b/tests/net/scene.py
@@ -12,12 +12,12 @@
 from pulleyroute.__main__ import Parts
 from pulleyroute.interface import Settings
 from pulleyroute.net.buffers import BufferPool, Ledger
+from pulleyroute.net.discovery import DiscoveryClient
 from pulleyroute.net.figures import Figures
 from pulleyroute.net.host import Host
 from pulleyroute.net.instance import Instances
 from pulleyroute.net.loop import Loop
 from pulleyroute.net.management import Management, verbs
-from pulleyroute.net.name_table import NameTable
 from pulleyroute.net.service_client import ServiceClient
 from pulleyroute.settings import read_settings
 
@@ -149,16 +149,16 @@
         self.settings: Settings = read_settings(info)[0]
         self.loop, pool = beside.loop if beside else StillLoop(), BufferPool()
         self.figures = Figures()
-        self.discovery = beside.discovery if beside else Listener(self.loop)
-        self.names = NameTable(self.loop, pool, self.discovery.address, self.settings, 0)
-        self.instances = Instances(self.loop, pool, self.names, self.settings, 20, self.figures)
-        self.host = Host(self.loop, self.settings, 1, self.names, self.instances)
+        self.discovery_peer = beside.discovery_peer if beside else Listener(self.loop)
+        self.discovery = DiscoveryClient(self.loop, pool, self.discovery_peer.address, self.settings, 0)
+        self.instances = Instances(self.loop, pool, self.discovery, self.settings, 20, self.figures)
+        self.host = Host(self.loop, self.settings, 1, self.discovery, self.instances)
         self.runners = beside.runners if beside else {f"s-{i}": Listener(self.loop) for i in range(instances)}
-        self.names.load_known(self.table(*self.runners))
+        self.discovery.load_known(self.table(*self.runners))
         self.ledger = Ledger(1024 * 1024)
         self.clients = ServiceClient(
             self.loop, pool, self.ledger, self.host, self.settings, most, most_jobs, self.figures)
-        self.parts = Parts(None, self.ledger, self.names, self.instances, self.clients, self.host,
+        self.parts = Parts(None, self.ledger, self.discovery, self.instances, self.clients, self.host,
                            self.figures)
         self.door = Management(self.loop, pool, verbs(self.parts))
         self.door.listen(("127.0.0.1", 0))
--- a/tests/net/test_name_table.py
+++ b/tests/net/test_discovery.py
@@ -1,4 +1,4 @@
-"""The name table against a scripted discovery, and the configuration."""
+"""The discovery client against a scripted discovery, and the configuration."""
 
 import json
 import subprocess
@@ -19,7 +19,7 @@
 
 def told(scene):
     news = []
-    scene.names.tell = news.append
+    scene.discovery.tell = news.append
     scene.host._doers[Subscribe] = lambda action: None  # the test asks, not the module
     return news
 
@@ -33,8 +33,8 @@
 def test_a_watch_tells_its_lines_however_they_are_cut(places):
     scene = Scene(instances=2)
     news = told(scene)
-    scene.names.watch(True)
-    peer = scene.discovery.accept()
+    scene.discovery.watch(True)
+    peer = scene.discovery_peer.accept()
     assert b"GET /api/targets?watch=1&from=1 " in peer.message()[0]
     lines = [json.dumps(scene.table("s-0", phase="leaving", complete=False, revision=2)), "",
              json.dumps(scene.table("s-1", revision=3))]
@@ -44,9 +44,9 @@
     scene.loop.until(lambda: len(news) == 2)
     assert [(n.version, n.kind) for n in news] == [(2, ListKind.DELTA), (3, ListKind.FULL)]
     assert news[0].entries[0].state is WorkerState.DRAINING
-    assert not scene.names.active(b"s-0") and scene.names.active(b"s-1")
-    assert scene.names.member(b"s-0") is not None  # it stays known
-    for end in (scene.discovery.sock, peer, *(r.sock for r in scene.runners.values())):
+    assert not scene.discovery.active(b"s-0") and scene.discovery.active(b"s-1")
+    assert scene.discovery.member(b"s-0") is not None  # it stays known
+    for end in (scene.discovery_peer.sock, peer, *(r.sock for r in scene.runners.values())):
         end.close()
 
 
@@ -54,8 +54,8 @@
     # Guards against a discovery that is cut off: its connection stays open and says nothing.
     scene = Scene()
     news = told(scene)
-    scene.names.watch(True)
-    peer = scene.discovery.accept()
+    scene.discovery.watch(True)
+    peer = scene.discovery_peer.accept()
     peer.message()
     peer.send(CHUNKS)
     for _ in range(3):
@@ -76,25 +76,25 @@
 def test_failed_calls_are_told_and_leave_the_list_as_it_was(answer, way):
     scene = Scene()
     news = told(scene)
-    scene.names.watch(True) if way == "watch" else scene.names.fetch()
-    peer = scene.discovery.accept()
+    scene.discovery.watch(True) if way == "watch" else scene.discovery.fetch()
+    peer = scene.discovery_peer.accept()
     peer.message()
     peer.send(answer)
     peer.close()
     scene.loop.until(lambda: news)
-    assert [n.kind for n in news] == [ListKind.FAILED] and scene.names.active(b"s-0")
+    assert [n.kind for n in news] == [ListKind.FAILED] and scene.discovery.active(b"s-0")
 
 
 def test_a_fetch_tells_the_whole_list():
     scene = Scene(instances=2)
     news = told(scene)
-    scene.names.fetch()
-    peer = scene.discovery.accept()
+    scene.discovery.fetch()
+    peer = scene.discovery_peer.accept()
     peer.message()
     body = json.dumps(scene.table("s-1", revision=7)).encode()
     peer.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
     scene.loop.until(lambda: news)
-    assert (news[0].version, news[0].kind) == (7, ListKind.FULL) and not scene.names.active(b"s-0")
+    assert (news[0].version, news[0].kind) == (7, ListKind.FULL) and not scene.discovery.active(b"s-0")
 
 
 def test_a_move_takes_the_whole_list_at_the_new_address_and_tries_again_in_time():
@@ -102,11 +102,11 @@
     # the module's pauses after a failure are longer than a move may take.
     scene = Scene(instances=2)
     news = told(scene)
-    scene.names.watch(True)
-    old, new = scene.discovery.accept(), Listener(scene.loop)
+    scene.discovery.watch(True)
+    old, new = scene.discovery_peer.accept(), Listener(scene.loop)
     old.message()
     old.send(CHUNKS)
-    scene.names.move(new.address)
+    scene.discovery.move(new.address)
     first = new.accept()
     assert first.message()[0].startswith(b"GET /api/targets HTTP")
     first.send(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
@@ -119,12 +119,12 @@
     second.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
     watch = new.accept()
     assert b"?watch=1&from=1 " in watch.message()[0]
-    assert [n.kind for n in news] == [ListKind.FULL] and scene.names.active(b"s-1")
-    assert not scene.names.active(b"s-0") and scene.names.member(b"s-0") is not None
-    scene.names.move(new.address)  # already there
+    assert [n.kind for n in news] == [ListKind.FULL] and scene.discovery.active(b"s-1")
+    assert not scene.discovery.active(b"s-0") and scene.discovery.member(b"s-0") is not None
+    scene.discovery.move(new.address)  # already there
     assert new.untouched()
-    scene.names.move(scene.discovery.address)
-    scene.discovery.sock.close()
+    scene.discovery.move(scene.discovery_peer.address)
+    scene.discovery_peer.sock.close()
     scene.loop.settle()
     scene.loop.skip(6 * SECOND)
     assert [n.kind for n in news] == [ListKind.FULL, ListKind.FAILED]  # now the module paces the calls
@@ -133,23 +133,23 @@
 def test_a_list_asked_for_before_a_move_is_not_taken():
     scene = Scene(instances=2)
     news = told(scene)
-    scene.names.fetch()
-    peer = scene.discovery.accept()
+    scene.discovery.fetch()
+    peer = scene.discovery_peer.accept()
     peer.message()
-    scene.names.move(Listener(scene.loop).address)
+    scene.discovery.move(Listener(scene.loop).address)
     body = json.dumps(scene.table("s-1", revision=9)).encode()
     peer.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
     scene.loop.until(lambda: news)
-    assert [n.kind for n in news] == [ListKind.FAILED] and scene.names.active(b"s-0")
+    assert [n.kind for n in news] == [ListKind.FAILED] and scene.discovery.active(b"s-0")
 
 
 def test_start_times_are_converted_to_the_clock_of_the_module():
     scene = Scene()
-    scene.names._epoch = 5_000 * SECOND
+    scene.discovery._epoch = 5_000 * SECOND
     table = scene.table("s-0")
     for unix_ms, expected in ((0, 0), (5_000_000, 1), (5_000_250, 250_000), (4_999_999, -1000)):
         table["members"][0]["up_since_ms"] = unix_ms
-        assert scene.names._take(table, cached=False).entries[0].started == expected
+        assert scene.discovery._take(table, cached=False).entries[0].started == expected
 
 
 @settings(derandomize=True, max_examples=200, deadline=None)
@@ -158,7 +158,7 @@
     lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.sampled_from(
         ["revision", "complete", "members", "id", "phase", "host_port", "size", "cell"]), inner, max_size=6)))
 def test_garbage_in_a_list_is_a_value_error(data):
-    names = SCENE.names
+    names = SCENE.discovery
     for item in (data, {"revision": 1, "complete": True, "members": [data]}):
         try:
             names._take(item, cached=False)
--- a/tests/net/test_handover.py
+++ b/tests/net/test_handover.py
@@ -37,8 +37,8 @@
     def serve(self):
         self.budgets = Budgets()
         listener = inherited(str(os.dup(self.platform.fileno())))
-        self.handover = Handover(self.loop, place(self.folder, listener), self.clients, self.host, self.names,
-                                 self.budgets)
+        self.handover = Handover(self.loop, place(self.folder, listener), self.clients, self.host,
+                                 self.discovery, self.budgets)
         self.starting = Task(self.loop, self.handover.take_over(listener), "start")
         self.starting.start()
         passing(self, lambda: self.starting.done)
@@ -225,9 +225,9 @@
     rules = old.host._dispatcher
     entry = old.table("s-2", phase="active", complete=False, revision=4)
     entry["members"][0]["up_since_ms"] = (old.loop.now() - SECOND) // 1000
-    old.names.tell(old.names._take(entry, cached=False))
+    old.discovery.tell(old.discovery._take(entry, cached=False))
     leaving = old.table("s-1", phase="leaving", complete=False, revision=5)
-    old.names.tell(old.names._take(leaving, cached=False))
+    old.discovery.tell(old.discovery._take(leaving, cached=False))
     rules.doubt(rules.workers[b"s-0"])
     until = rules.workers[b"s-0"].down_until
     cold = rules.workers[b"s-2"]
@@ -236,7 +236,7 @@
     rules.busy = 1.75
     new = old.next()
     heirs = new.host._dispatcher
-    assert new.names.version == 5 and not new.names.active(b"s-1") and new.names.size == 3
+    assert new.discovery.version == 5 and not new.discovery.active(b"s-1") and new.discovery.size == 3
     assert abs(heirs.workers[b"s-0"].down_until - until) <= 20_000 and new.host.avoided == 1
     assert heirs.workers[b"s-2"].budget == 0.75 and cold.budget == 0.0
     assert heirs.runs == {"read": 4321.0} and heirs.busy == 1.75
@@ -244,7 +244,7 @@
     del earlier["busy"]  # as a version tells that kept none
     recall.learn(heirs, earlier)
     assert heirs.load == 3.5 and heirs.busy == 1.75
-    assert b"watch=1&from=5" in new.discovery.accept().message()[0]
+    assert b"watch=1&from=5" in new.discovery_peer.accept().message()[0]
 
 
 # The exchange of the test below: hello, three parts of the state, serving, a connection and two jobs.
--- a/tests/net/test_history.py
+++ b/tests/net/test_history.py
@@ -115,7 +115,7 @@
         elif kind == "table":
             self.revision += 1
             table = scene.table(f"s-{what[0]}", phase=what[1], complete=False, revision=self.revision)
-            scene.names.tell(scene.names._take(table, cached=False))
+            scene.discovery.tell(scene.discovery._take(table, cached=False))
         elif kind == "pass":
             for _ in range(0, what[0], 50):
                 scene.loop.skip(50 * MS)
@@ -132,6 +132,6 @@
         referee.step(*step)
     referee.step("pass", 6 * SECOND // MS)
     assert not referee.scene.host.open and not referee.scene.loop.errors and not referee.scene.host.faults
-    for sock in (referee.scene.discovery.sock, referee.scene.clients.listener.sock,
+    for sock in (referee.scene.discovery_peer.sock, referee.scene.clients.listener.sock,
                  *(r.sock for r in referee.scene.runners.values()), *(p.sock for _, p in referee.peers)):
         sock.close()
--- a/tests/net/test_host.py
+++ b/tests/net/test_host.py
@@ -189,8 +189,8 @@
     # Guards the drain rule: the table is looked at when the first byte would go, not only at the push.
     scene = Scene()
     table = scene.table("s-0", phase="leaving", complete=False, revision=2)
-    active, scene.names.active = scene.names.active, lambda name: (
-        scene.names._take(table, cached=False), active(name))[1]
+    active, scene.discovery.active = scene.discovery.active, lambda name: (
+        scene.discovery._take(table, cached=False), active(name))[1]
     scene.ask("/charge")
     runner = scene.runners["s-0"].accept()
     scene.loop.settle()
--- a/tests/net/test_less_room.py
+++ b/tests/net/test_less_room.py
@@ -56,16 +56,16 @@
 
 def test_the_list_and_its_changes_may_be_cut_at_any_byte():
     scene = Scene(instances=2)
-    scene.names.watch(True)
-    watch = scene.discovery.accept()
+    scene.discovery.watch(True)
+    watch = scene.discovery_peer.accept()
     watch.message()
     watch.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
     for at in range(1, 60):
         line = json.dumps(scene.table("s-1", phase="leaving" if at % 2 else "active", complete=False,
                                       revision=10 + at)).encode() + b"\n"
         in_two(scene, watch, b"%x\r\n%s\r\n" % (len(line), line), at % (len(line) + 3) or 1)
-        scene.loop.until(lambda at=at: scene.names.version == 10 + at)
-        assert scene.names.active(b"s-1") is (at % 2 == 0)
+        scene.loop.until(lambda at=at: scene.discovery.version == 10 + at)
+        assert scene.discovery.active(b"s-1") is (at % 2 == 0)
 
 
 STAGES = ["connected", "half a head", "half a body", "sent", "taken", "started", "answered"]
--- a/tests/net/test_list_age.py
+++ b/tests/net/test_list_age.py
@@ -5,16 +5,16 @@
 import pytest
 
 from pulleyroute.interface import ListKind
-from pulleyroute.net import name_table
+from pulleyroute.net import discovery
+from pulleyroute.net.discovery import Words
 from pulleyroute.net.http import Broken
-from pulleyroute.net.name_table import Words
 from tests.net.scene import INFO, MS, SECOND, Scene
-from tests.net.test_name_table import CHUNKS, chunk
+from tests.net.test_discovery import CHUNKS, chunk
 from tests.net.test_pushed_list import Agent
 
 
 def test_all_that_stands_between_a_silence_and_the_next_news_is_within_the_protocols_time():
-    t = name_table
+    t = discovery
     assert t.SILENCE + t.FIRST_PAUSE + t.CONNECT_TIME + t.FETCH_TIME <= t.TOLD
     assert t.LONGEST_PAUSE + t.CONNECT_TIME + t.FETCH_TIME <= t.TOLD
     assert t.SILENCE > 2 * SECOND + 500 * MS  # an empty line comes every 2 s
@@ -25,14 +25,14 @@
 def test_a_drain_that_a_silent_watch_missed_is_known_within_six_seconds(mode, dispatchers):
     for seed in range(5):
         agent = Agent(info={**INFO, "membership-mode": mode, "balancers": dispatchers})
-        agent.scene.names._random.seed(seed)
+        agent.scene.discovery._random.seed(seed)
         agent.loop.skip(500 * MS)
         agent.opened(1).send(chunk(b"\n"))
         agent.loop.settle()
         silent = agent.loop.time  # from here on nothing comes, and then s-0 drains
         while agent.door.untouched_now():
             agent.loop.skip(20 * MS)
-        assert agent.loop.time - silent <= name_table.TOLD - name_table.CONNECT_TIME - name_table.FETCH_TIME
+        assert agent.loop.time - silent <= discovery.TOLD - discovery.CONNECT_TIME - discovery.FETCH_TIME
         agent.opened(1).send(agent.line("s-0", phase="leaving", complete=False, revision=2))
         agent.loop.until(lambda agent=agent: agent.ready() == [b"s-1"])
 
@@ -45,10 +45,10 @@
     for seed in range(20):
         paces = []
         for i in range(200):
-            agent.scene.names._random.seed(1000 * seed + i)
-            pace, now = agent.scene.names._backoff(agent.scene.settings), -5 * SECOND
+            agent.scene.discovery._random.seed(1000 * seed + i)
+            pace, now = agent.scene.discovery._backoff(agent.scene.settings), -5 * SECOND
             calls = []
-            while now < name_table.TOLD:  # it is down until 0
+            while now < discovery.TOLD:  # it is down until 0
                 now += pace.failed()
                 calls.append(now)
             paces.append([at for at in calls if at >= 0])
@@ -56,7 +56,7 @@
         for at in sorted(at for calls in paces for at in calls):
             if max(free, at) - at < SECOND and done < 200:
                 free, done = max(free, at) + each, done + 1
-        assert done == 200 and free <= name_table.TOLD, (seed, done, free)
+        assert done == 200 and free <= discovery.TOLD, (seed, done, free)
 
 
 @pytest.mark.parametrize("spoilt", [
@@ -103,11 +103,11 @@
 def test_a_request_for_a_watch_does_not_cut_off_one_that_is_being_opened():
     # Guards against settings by which the decisions ask again sooner than a busy discovery answers.
     scene = Scene()
-    scene.names.watch(True)
-    peer = scene.discovery.accept()
+    scene.discovery.watch(True)
+    peer = scene.discovery_peer.accept()
     peer.message()
-    scene.names.watch(True)
+    scene.discovery.watch(True)
     scene.loop.settle()
-    assert scene.discovery.untouched() and not peer.ended
+    assert scene.discovery_peer.untouched() and not peer.ended
     peer.send(CHUNKS + chunk(json.dumps(scene.table("s-0", phase="leaving", revision=2)).encode() + b"\n"))
-    scene.loop.until(lambda: not scene.names.active(b"s-0"))
+    scene.loop.until(lambda: not scene.discovery.active(b"s-0"))
--- a/tests/net/test_management.py
+++ b/tests/net/test_management.py
@@ -148,9 +148,9 @@
     clients[0].close()
     scene.loop.until(lambda: scene.host.open == 3)
     assert scene.shown()["current"] == 3
-    scene.names.load_known(scene.table("s-0", "s-1", revision=2))
+    scene.discovery.load_known(scene.table("s-0", "s-1", revision=2))
     assert scene.shown()["cluster_size"] == 2
-    scene.names._take(scene.table("s-1", phase="leaving", complete=False, revision=3), cached=False)
+    scene.discovery._take(scene.table("s-1", phase="leaving", complete=False, revision=3), cached=False)
     assert scene.shown()["cluster_size"] == 2  # it still finishes what it has
     worker = scene.host._dispatcher.workers[b"s-0"]
     assert "cluster_unhealthy" not in scene.shown()
--- a/tests/net/test_pushed_list.py
+++ b/tests/net/test_pushed_list.py
@@ -9,7 +9,7 @@
 from pulleyroute.net.config import load_config
 from pulleyroute.net.handover import Handover, place
 from tests.net.scene import INFO, MS, SECOND, Listener, Scene
-from tests.net.test_name_table import CHUNKS, chunk
+from tests.net.test_discovery import CHUNKS, chunk
 
 PUSHED = {**INFO, "membership-mode": "pushed", "obligations": {**INFO["obligations"], "drain-grace": 500000}}
 GRACE = 500 * MS
@@ -21,10 +21,10 @@
     def __init__(self, info=PUSHED):
         self.scene = Scene(instances=2, info=info)
         self.told = []
-        tell = self.scene.names.tell
-        self.scene.names.tell = lambda news: (self.told.append(news.kind), tell(news))
-        self.scene.names.begin()
-        self.loop, self.door = self.scene.loop, self.scene.discovery
+        tell = self.scene.discovery.tell
+        self.scene.discovery.tell = lambda news: (self.told.append(news.kind), tell(news))
+        self.scene.discovery.begin()
+        self.loop, self.door = self.scene.loop, self.scene.discovery_peer
 
     def opened(self, since):
         peer = self.door.accept()
@@ -45,7 +45,7 @@
     peer = agent.opened(1)
     peer.send(agent.line("s-0", phase="leaving", complete=False, revision=2))
     agent.loop.until(lambda: agent.ready() == [b"s-1"])
-    assert not agent.scene.names.active(b"s-0")
+    assert not agent.scene.discovery.active(b"s-0")
 
 
 def test_an_asked_list_is_watched_from_the_start_spread_by_the_fleets_size():
@@ -53,8 +53,8 @@
     waits = []
     for _ in range(2):
         agent = Agent(info={**INFO, "balancers": 200})
-        agent.scene.names._random.seed(len(waits))
-        agent.scene.names.begin()
+        agent.scene.discovery._random.seed(len(waits))
+        agent.scene.discovery.begin()
         start = agent.loop.time
         while agent.door.untouched_now():
             agent.loop.skip(10 * MS)
@@ -161,14 +161,14 @@
                          agent.line("s-0", "s-1", phase="leaving", revision=2))
     agent.loop.until(lambda: agent.ready() == [b"s-1"])  # which has started since
     agent.loop.settle()
-    assert agent.scene.names.version == 8 and agent.ready() == [b"s-1"]
+    assert agent.scene.discovery.version == 8 and agent.ready() == [b"s-1"]
 
 
 def test_a_move_and_a_change_of_the_way_keep_the_list_open():
     agent = Agent()
     agent.opened(1)
     new = Listener(agent.loop)
-    agent.scene.names.move(new.address)
+    agent.scene.discovery.move(new.address)
     whole = new.accept()
     assert whole.message()[0].startswith(b"GET /api/targets HTTP")
     body = json.dumps(agent.scene.table("s-1", revision=1)).encode()
@@ -188,7 +188,7 @@
     agent.opened(1).send(agent.line("s-0", phase="leaving", complete=False, revision=2))
     agent.loop.until(lambda: agent.ready() == [b"s-1"])
     handover = Handover(agent.loop, place("/nowhere", agent.door.sock), agent.scene.clients, agent.scene.host,
-                        agent.scene.names, None)
+                        agent.scene.discovery, None)
     handover._whole = True
     link = type("Link", (), {"shift": 0, "close": lambda self, why: None})()
     handover._use(link, [{"phase": "serving"}, {"list": agent.scene.table("s-0", "s-1", revision=1)}])
@@ -201,21 +201,21 @@
     scene = Scene()
     path = tmp_path / "config.json"
     config = {"name": "n", "listen": "127.0.0.1:18080", "seed": "ff", "settings": PUSHED,
-              "discovery": "{}:{}".format(*scene.discovery.address), "known": scene.table("s-0")}
+              "discovery": "{}:{}".format(*scene.discovery_peer.address), "known": scene.table("s-0")}
     path.write_text(json.dumps(config))
     monkeypatch.setenv("PROXY_CONFIG", str(path))
     loaded = load_config({"PROXY_CONFIG": str(path)})
     loaded.listen = ("127.0.0.1", 0)
     parts = build(loaded, scene.loop)
-    peer = scene.discovery.accept()
+    peer = scene.discovery_peer.accept()
     assert b"?watch=1&from=1 " in peer.message()[0]
     peer.send(CHUNKS + chunk(json.dumps(scene.table("s-0", phase="leaving", revision=2)).encode() + b"\n"))
-    scene.loop.until(lambda: not parts.names.active(b"s-0"))
+    scene.loop.until(lambda: not parts.discovery.active(b"s-0"))
     config["settings"] = {**PUSHED, "membership-mode": "on_request"}
     path.write_text(json.dumps(config))
     reload(parts)
-    assert parts.names.member(b"s-0").entry["phase"] == "leaving"
+    assert parts.discovery.member(b"s-0").entry["phase"] == "leaving"
     peer.send(chunk(json.dumps(scene.table("s-0", revision=3)).encode() + b"\n"))  # the watch goes on
-    scene.loop.until(lambda: parts.names.active(b"s-0"))
-    parts.names.watch(False)
+    scene.loop.until(lambda: parts.discovery.active(b"s-0"))
+    parts.discovery.watch(False)
     parts.clients.listener.close()
--- a/tests/net/test_reload.py
+++ b/tests/net/test_reload.py
@@ -105,8 +105,9 @@
 
 
 def state(parts):
-    return (parts.host._settings, parts.clients._settings, parts.instances._settings, parts.names._discovery,
-            parts.ledger.most, parts.config.sockets, parts.config.settings, dict(parts.clients._classes))
+    return (parts.host._settings, parts.clients._settings, parts.instances._settings,
+            parts.discovery._discovery, parts.ledger.most, parts.config.sockets, parts.config.settings,
+            dict(parts.clients._classes))
 
 
 def sent(parts, path: Path, text: str):
@@ -120,7 +121,7 @@
         return False
     assert after == (counts[0] + 1, counts[1])
     wanted = load_config(os.environ)
-    assert state(parts)[0] == state(parts)[1] == state(parts)[2] == parts.names.adopt(wanted.settings)
+    assert state(parts)[0] == state(parts)[1] == state(parts)[2] == parts.discovery.adopt(wanted.settings)
     assert state(parts)[3] == wanted.discovery
     return True
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -109,6 +109,6 @@
         "__main__", "interface", "rules", "settings", "net", "net.backoff", "net.buffers",
         "net.config", "net.host", "net.duty", "net.figures", "net.handover", "net.http",
         "net.management", "recall",
-        "net.instance", "net.listener", "net.log", "net.loop", "net.moderation", "net.name_table",
+        "net.instance", "net.listener", "net.log", "net.loop", "net.moderation", "net.discovery",
         "net.process",
         "net.service_client"))}
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -9,7 +9,7 @@
 from pulleyroute.config import Invalid, load, pool_settings
 from pulleyroute.config.build import known_list
 from pulleyroute.interface import Effect, ReportSource
-from pulleyroute.net.name_table import NameTable
+from pulleyroute.net.discovery import DiscoveryClient
 
 MISSING = ("class", "listener", "pool", "effect")  # told at the line of the block that lacks them
 ROOT = Path(__file__).parent.parent
@@ -84,7 +84,7 @@
         ("look", Effect.SAFE, 250_000, 5_000_000, 1.0), ("charge", Effect.UNSAFE, 1_500_000, 25_000_000, 3.0)]
     assert settings.max_attempts == 3 and settings.zones[settings.zone] == "leicester"
     assert pool_settings(config, config.pool["boxes"]).report_source is ReportSource.PROBES
-    table = NameTable(None, None, ("127.0.0.1", 1), settings, 0)  # type: ignore[arg-type]
+    table = DiscoveryClient(None, None, ("127.0.0.1", 1), settings, 0)  # type: ignore[arg-type]
     table.load_known(known_list(config.pool["apps"], 1))
     assert table.active(b"a") and not table.active(b"b") and table.member(b"b").address == ("127.0.0.1", 9002)
 
--- a/tests/test_rare_process.py
+++ b/tests/test_rare_process.py
@@ -14,8 +14,8 @@
 import pytest
 
 from tests.net.scene import INFO, callback
+from tests.net.test_discovery import CHUNKS, chunk
 from tests.net.test_main import until
-from tests.net.test_name_table import CHUNKS, chunk
 
 ROOT = Path(__file__).parent.parent
 GIVEN_TIME = 60
