Call a crowded discovery less and less, and give up no call before it is turned away

Now only a watch that was open counts as one that stood; answers are waited for 2.4 s after a silence and else 3.4 s, within the 6 s with shorter pauses; a call that fails after a wait of 0.7 s and more backs off up to ask-every.

A DELETE is tried a second time only after a reset again where second copies are allowed: elsewhere it cost connections for nothing.

--- a/pulleyroute/net/discovery.py
+++ b/pulleyroute/net/discovery.py
@@ -31,14 +31,16 @@
 # What discovery has to tell counts as told so long after it could tell it, whether it came or not. Each bound
 # on the way is a part of this: a watch falls silent, the pause before the next call, its connect, its answer.
 TOLD = 6_000_000
-SILENCE = 2_800_000  # a watch says something every 2 s; this long without a whole word and it is broken
-FIRST_PAUSE = 400_000  # the longest before the first call after a watch has ended, of a large fleet
-CONNECT_TIME = 800_000
-FETCH_TIME = 2_000_000  # to the head of a watch, or the whole list: discovery works through its calls in turn
-LONGEST_PAUSE = 1_500_000  # between two calls while discovery is away: at its return there is time for two
-START_PAUSE = 500_000  # before the first call of a process, at most
-# Of the pauses above, for each dispatcher that calls the same discovery.
-FIRST_SHARE, LONGEST_SHARE, START_SHARE = 2_000, 10_000, 2_500
+SILENCE = 2_500_000  # a watch says something every 2 s; this long without a whole word and it is broken
+FIRST_PAUSE = 500_000  # before the first call after a watch has ended, at most
+CONNECT_TIME = 600_000
+# To the head of a watch, or the whole list: discovery works through its calls in turn, and one that is given
+# up before it is answered or turned away is work for nobody, and keeps others waiting.
+FIRST_ANSWER, ANSWER = 2_400_000, 3_400_000  # after a silence, and else
+LONGEST_PAUSE = 2_000_000  # between two calls while discovery is away, and before the first of a process
+CROWDED = 700_000  # a call that fails after so long has waited for its turn: discovery has too many callers
+# Of the pauses, for each dispatcher that calls the same discovery.
+FIRST_SHARE, LONGEST_SHARE = 25_000, 50_000
 LEAST_LONGEST = 250_000  # for a discovery that is away, however small the fleet
 MOVE_TIME = 4_000_000  # after a move, calls that fail are tried again for so long before the module is told
 MOVE_PAUSE = 500_000  # the longest pause between two of them
@@ -102,6 +104,9 @@
         self._random = Random(seed)
         self._settings = settings
         self._pause = self._backoff(settings)
+        self._crowded = self._crowd(settings)
+        self._answer_time = ANSWER
+        self._open_since: int | None = None  # of a watch: when its head came
         self._deaf = False  # the watch has failed, and nothing has been heard since
         self._back_since: int | None = None  # since when discovery has told of older versions only
         self._zones = {name: i for i, name in enumerate(settings.zones)}
@@ -139,6 +144,7 @@
                    if 0 <= cls.kind < len(kinds) else cls for cls in settings.classes]
         self._settings = settings
         self._pause = self._backoff(settings)
+        self._crowded = self._crowd(settings)
         return replace(settings, zone=zone, classes=classes)
 
     @property
@@ -173,6 +179,15 @@
             first, longest = grace // PUSHED_FIRST, grace // PUSHED_LONGEST
         return Backoff(max(1, first), max(1, longest), self._random)
 
+    def _crowd(self, settings: Settings) -> Backoff:
+        """The pauses while discovery has too many callers.
+
+        Guards it against staying so: what waited too long is work as well, so that calls have to become fewer
+        than it can work through. The settings say how long not asking is excused.
+        """
+        cap = max(self._pause.cap, settings.ask_every)
+        return Backoff(min(cap, 2 * self._pause.cap), cap, self._random)
+
     def watch(self, on: bool) -> None:
         """Keep a watch open from now on, or cease. One that is open, or is being opened, goes on as it is."""
         if not on or self._watch is None:
@@ -190,7 +205,7 @@
     def begin(self) -> None:
         """A process begins: open the watch, where one discovery serves all not all of them at once."""
         s = self._settings
-        spread = min(START_PAUSE, s.dispatchers * START_SHARE) if s.list_on_request else 0
+        spread = min(LONGEST_PAUSE, s.dispatchers * LONGEST_SHARE) if s.list_on_request else 0
         self._open(start=int(self._random.random() * spread))
 
     def move(self, discovery: tuple[str, int]) -> None:
@@ -230,7 +245,7 @@
         asked = self._discovery
         stream = yield from self._call(PATH)
         try:
-            answer = yield from stream.response(self._loop.now() + FETCH_TIME, LINE_LIMIT)
+            answer = yield from stream.response(self._loop.now() + self._answer_time, LINE_LIMIT)
             if answer.status != 200:
                 raise Broken(f"status {answer.status}")
             if asked != self._discovery:
@@ -252,7 +267,7 @@
         if start:
             yield Wait(until=self._loop.now() + start)
         while True:
-            opened = self._loop.now()
+            called, self._open_since = self._loop.now(), None
             try:
                 if self._moved:
                     # Guards against versions that mean nothing here: changes since one might leave out most.
@@ -268,32 +283,40 @@
                     logger.info("discovery: {}:{} failed: {}", *self._discovery, why)
                     yield Wait(until=self._loop.now() + int(self._random.random() * MOVE_PAUSE))
                     continue
-                yield from self._resting(opened, why)
+                yield from self._resting(called, isinstance(exc, Late), why)
 
-    def _resting(self, opened: int, why: str) -> Coroutine[None]:
+    def _resting(self, called: int, late: bool, why: str) -> Coroutine[None]:
         """The watch has ended: the pause before it is opened anew."""
+        since = self._open_since
+        self._answer_time = FIRST_ANSWER if late and since is not None else ANSWER
         if not self._deaf:
             # Guards the log: a discovery that is down is told of once, and once more when it speaks again.
             self._deaf = True
             self._failed("watch", why)
-        if self._loop.now() - opened >= self._pause.cap:
+        if since is not None and self._loop.now() - since >= self._pause.cap:
             # Guards the drain rule: a watch that stood is opened anew at once, as there may be more to tell.
-            # One that breaks as soon as it is open is not, as it would be so again.
+            # One that breaks as soon as it is open is not, as it would be so again; nor is a call that waited
+            # for long and was turned away, or a discovery with too many callers would have ever more.
             self._pause.succeeded()
             if not self._settings.list_on_request:
                 return
-        yield Wait(until=self._loop.now() + self._pause.failed())
+        crowded = (self._settings.list_on_request and since is None
+                   and self._loop.now() - called >= CROWDED)
+        pause = self._crowded if crowded else self._pause
+        yield Wait(until=self._loop.now() + pause.failed())
 
     def _following(self) -> Coroutine[None]:
         """Tell of changes until the watch breaks."""
         stream = yield from self._call(b"%s?watch=1&from=%d" % (PATH, self._version))
         try:
-            answer = yield from stream.answer_head(self._loop.now() + FETCH_TIME)
+            answer = yield from stream.answer_head(self._loop.now() + self._answer_time)
             if answer.status != 200:
                 raise Broken(f"status {answer.status}")
             logger.bind(event="discovery.watching").info("discovery: watching {}:{} from version {}",
-                                                     *self._discovery, self._version)
+                                                         *self._discovery, self._version)
             words, heard = Words(), self._loop.now()
+            self._open_since = heard
+            self._crowded.succeeded()
             while True:
                 # Guards against a discovery that went silent, and one whose word never ends: each has to be
                 # whole so long after the one before.
--- a/pulleyroute/net/instance.py
+++ b/pulleyroute/net/instance.py
@@ -335,7 +335,7 @@
         target = b"/jobs/" + attempt.txn.encode()
         pause = Backoff(FIRST_PAUSE, LONGEST_PAUSE, self._random)
         outcome, _ = yield from self._asking(attempt.instance, b"DELETE", target, limit)
-        while outcome is not Outcome.OK:
+        while outcome is Outcome.RESET or (outcome is not Outcome.OK and not self._settings.second_copies):
             # A kept connection may be gone or silent, and what was written to it lost. One that has just come
             # up surely carried it, even where the instance does not answer.
             outcome, _ = yield from self._asking(attempt.instance, b"DELETE", target, limit, fresh=True)
