Read sockets in one place, spread calls by one formula, and align what a rename moved

Stream.pull, skip and linger shared a loop of three copies; the spread of a fleet's calls stood twice; _kept copied its list on each attempt. net, process, service and configuration tests pass (432, and the two known red).

--- a/pulleyroute/net/discovery.py
+++ b/pulleyroute/net/discovery.py
@@ -1,4 +1,4 @@
-"""The discovery: discovery's list of instances, as this dispatcher was told it, and how old that is.
+"""The discovery client: the list of instances, as this dispatcher was told it, and how old that is.
 
 It keeps a watch open from the start on, and opens it anew whenever it ends or falls silent, so that what
 discovery has to tell is heard in time. Where the list is asked for, one discovery serves the whole fleet, and
@@ -173,7 +173,7 @@
         if settings.list_on_request:
             # Guards one discovery against all at once: the larger the fleet, the wider its calls are spread.
             first = min(FIRST_PAUSE, settings.dispatchers * FIRST_SHARE)
-            longest = min(LONGEST_PAUSE, max(LEAST_LONGEST, settings.dispatchers * LONGEST_SHARE))
+            longest = max(LEAST_LONGEST, _spread(settings))
         else:
             grace = max(1, settings.drain_grace)
             first, longest = grace // PUSHED_FIRST, grace // PUSHED_LONGEST
@@ -186,7 +186,7 @@
         than it can work through. The settings say how long not asking is excused.
         """
         cap = max(self._pause.cap, settings.ask_every)
-        return Backoff(min(cap, 2 * self._pause.cap), cap, self._random)
+        return Backoff(2 * self._pause.cap, cap, self._random)
 
     def watch(self, on: bool) -> None:
         """Keep a watch open from now on, or cease. One that is open, or is being opened, goes on as it is."""
@@ -204,8 +204,7 @@
 
     def begin(self) -> None:
         """A process begins: open the watch, where one discovery serves all not all of them at once."""
-        s = self._settings
-        spread = min(LONGEST_PAUSE, s.dispatchers * LONGEST_SHARE) if s.list_on_request else 0
+        spread = _spread(self._settings) if self._settings.list_on_request else 0
         self._open(start=int(self._random.random() * spread))
 
     def move(self, discovery: tuple[str, int]) -> None:
@@ -421,6 +420,11 @@
         return (int(unix_ms * 1000) - self._epoch or 1) if unix_ms else 0
 
 
+def _spread(settings: Settings) -> int:
+    """Over how long the calls of all dispatchers of one discovery are spread."""
+    return min(LONGEST_PAUSE, settings.dispatchers * LONGEST_SHARE)
+
+
 def _number(names: dict[str, int], name: object) -> int:
     """The place of a name in the settings; names that they do not have get places after them."""
     return names.setdefault(str(name), len(names))
--- a/pulleyroute/net/host.py
+++ b/pulleyroute/net/host.py
@@ -351,7 +351,7 @@
                   values["taken"] + shift)
         for told in values["executions"]:
             attempt = self._attempt(job, told["instance"].encode(), told["sent"] + shift,
-                                        told["timeout_at"] + shift)
+                                    told["timeout_at"] + shift)
             for name in ("over", "started", "written", "accepted", "nacked"):
                 setattr(attempt, name, told[name])
             attempt.outcome = None if told["outcome"] is None else Outcome(told["outcome"])
@@ -468,7 +468,7 @@
             logger.error("the module pushed a job that nobody holds")
             return
         attempt = self._attempt(job, action.worker, self._now,
-                                    min(action.timeout_at or job.deadline, job.deadline))
+                                min(action.timeout_at or job.deadline, job.deadline))
         earlier = [e for e in job.attempts if e.instance == action.worker]
         job.attempts.append(attempt)
         if (
--- a/pulleyroute/net/http.py
+++ b/pulleyroute/net/http.py
@@ -99,12 +99,9 @@
     def pull(self) -> int | None:
         """Read what is there: the count of bytes, 0 at the end, None if nothing is there yet."""
         with self._pool.borrow() as buffer:
-            try:
-                count = self._sock.recv_into(buffer)
-            except (BlockingIOError, InterruptedError):
+            count = self._receive(buffer)
+            if count is None:
                 return None
-            except OSError as exc:
-                raise Broken(str(exc)) from None
             if count:
                 self.fresh = False
                 self._claim(count)
@@ -118,12 +115,15 @@
         """Read what is there and drop it, as `pull` reads it; nothing more can be made of the connection."""
         self.skipped = True
         with self._pool.borrow() as buffer:
-            try:
-                return self._sock.recv_into(buffer)
-            except (BlockingIOError, InterruptedError):
-                return None
-            except OSError as exc:
-                raise Broken(str(exc)) from None
+            return self._receive(buffer)
+
+    def _receive(self, buffer: bytearray) -> int | None:
+        try:
+            return self._sock.recv_into(buffer)
+        except (BlockingIOError, InterruptedError):
+            return None
+        except OSError as exc:
+            raise Broken(str(exc)) from None
 
     def _claim(self, count: int) -> None:
         self._claimed += count
@@ -287,17 +287,13 @@
         try:
             self._sock.shutdown(socket.SHUT_WR)
             while seen < LINGER_BYTES:
-                with self._pool.borrow() as buffer:
-                    try:
-                        count = self._sock.recv_into(buffer)
-                    except (BlockingIOError, InterruptedError):
-                        count = -1
+                count = self.skip()
                 if count == 0:
                     return
-                seen += max(0, count)
-                if count < 0 and (yield Wait(self.fileno(), READABLE, until)) is Woken.LATE:
+                seen += count or 0
+                if count is None and (yield Wait(self.fileno(), READABLE, until)) is Woken.LATE:
                     return
-        except OSError:
+        except (Broken, OSError):
             return
 
     # The client's side
--- a/pulleyroute/net/instance.py
+++ b/pulleyroute/net/instance.py
@@ -146,11 +146,12 @@
     def _kept(self, instance: WorkerId, silent_for: int = 0) -> Stream | None:
         """A kept connection that is still there, as far as can be seen, and has been silent for so long."""
         idle = self._idle.get(instance, [])
-        for kept in reversed(idle[:]):
+        for place in reversed(range(len(idle))):  # the last one first
+            kept = idle[place]
             silent = self._loop.now() - kept.since
             if silent < silent_for:
                 continue
-            idle.remove(kept)
+            del idle[place]
             # Guards against the instance's time limit: a request on a connection that it closes is a reset;
             # and against a connection to a process before the one that is listed.
             if (silent < self._idle_time and kept.incarnation == self._discovery.incarnation(instance)
