--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 
 lint: $(VENV)/.ready
 	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
 	$(BIN)/mypy
 
 # Minutes each, and the machine to itself: see docs/measured/.
--- a/benchmarks/door.py
+++ b/benchmarks/door.py
@@ -41,8 +41,9 @@
     looks.took.append(time.monotonic() - began)
 
 
-def under(door: str, flood: Callable[[threading.Event], None], threads: int,
-          want: tuple[int, ...] = (200,)) -> Looks:
+def under(
+    door: str, flood: Callable[[threading.Event], None], threads: int, want: tuple[int, ...] = (200,)
+) -> Looks:
     """The door's answers while so many threads flood."""
     over, looks = threading.Event(), Looks()
     at_work = [threading.Thread(target=flood, args=(over,), daemon=True) for _ in range(threads)]
@@ -62,6 +63,7 @@
 
 def holding(address: str, data: bytes, most: int, stay: float) -> Callable[[threading.Event], None]:
     """Connects again and again, sends the same, and holds each connection for a while."""
+
     def flood(over: threading.Event) -> None:
         held: list[tuple[float, socket.socket]] = []
         while not over.is_set():
@@ -75,6 +77,7 @@
             time.sleep(0.001)
         for _, sock in held:
             sock.close()
+
     return flood
 
 
@@ -89,6 +92,7 @@
                     sock.sendall(b"POST /nothing HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n" * 20)
                     if not sock.recv(65536):
                         break
+
     return flood
 
 
@@ -114,19 +118,37 @@
         for name, flood, threads in floods:
             rows.append((name, under(door, flood, threads)))
         call(door, "POST", "/standby")
-        rows.append(("a drain, with silent connections",
-                     under(door, holding(clients, b"", CONNECTIONS, 4), 1)))
+        rows.append(
+            ("a drain, with silent connections", under(door, holding(clients, b"", CONNECTIONS, 4), 1))
+        )
     rest = max(rows[0][1].took)
-    lines = ["| while | calls | slowest answer, ms | of that at rest | late or wrong |",
-             "| --- | --- | --- | --- | --- |"]
-    lines += [f"| {name} | {len(looks.took)} | {max(looks.took) * 1000:.0f} | {max(looks.took) / rest:.1f} "
-              f"| {looks.wrong + sum(took > DUE for took in looks.took)} |" for name, looks in rows]
+    lines = [
+        "| while | calls | slowest answer, ms | of that at rest | late or wrong |",
+        "| --- | --- | --- | --- | --- |",
+    ]
+    lines += [
+        f"| {name} | {len(looks.took)} | {max(looks.took) * 1000:.0f} | {max(looks.took) / rest:.1f} "
+        f"| {looks.wrong + sum(took > DUE for took in looks.took)} |"
+        for name, looks in rows
+    ]
     print("\n".join(lines))
     if "--write" in sys.argv:
-        Path("docs/measured/door.md").write_text("\n".join([
-            "# The operators' door under floods", "",
-            "Command: `python -m benchmarks.door --write`. 256 descriptors; 8 clients with jobs go on all",
-            "the while. An answer is due within 1000 ms.", "", f"Run on: {machine()}.", "", *lines, ""]))
+        Path("docs/measured/door.md").write_text(
+            "\n".join(
+                [
+                    "# The operators' door under floods",
+                    "",
+                    "Command: `python -m benchmarks.door --write`. 256 descriptors; 8 clients with",
+                    "jobs go on all",
+                    "the while. An answer is due within 1000 ms.",
+                    "",
+                    f"Run on: {machine()}.",
+                    "",
+                    *lines,
+                    "",
+                ]
+            )
+        )
     return 0 if not any(looks.wrong or max(looks.took) > DUE for _, looks in rows) else 1
 
 
--- a/benchmarks/fixture.py
+++ b/benchmarks/fixture.py
@@ -78,40 +78,57 @@
     def name(text: str) -> x509.Name:
         return x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, text)])
 
-    def built(subject: str, issuer: str, key: ec.EllipticCurvePrivateKey, by: ec.EllipticCurvePrivateKey,
-              ca: bool) -> x509.Certificate:
+    def built(
+        subject: str, issuer: str, key: ec.EllipticCurvePrivateKey, by: ec.EllipticCurvePrivateKey, ca: bool
+    ) -> x509.Certificate:
         address = x509.IPAddress(ipaddress.ip_address("127.0.0.1"))
         return (
-            x509.CertificateBuilder().subject_name(name(subject)).issuer_name(name(issuer))
-            .public_key(key.public_key()).serial_number(x509.random_serial_number())
+            x509.CertificateBuilder()
+            .subject_name(name(subject))
+            .issuer_name(name(issuer))
+            .public_key(key.public_key())
+            .serial_number(x509.random_serial_number())
             .not_valid_before(now - datetime.timedelta(hours=1))
             .not_valid_after(now + datetime.timedelta(days=days))
             .add_extension(x509.BasicConstraints(ca=ca, path_length=None), critical=True)
             .add_extension(x509.SubjectAlternativeName([address, x509.DNSName("localhost")]), critical=False)
-            .sign(by, hashes.SHA256()))
+            .sign(by, hashes.SHA256())
+        )
 
     root, leaf = ec.generate_private_key(ec.SECP256R1()), ec.generate_private_key(ec.SECP256R1())
     files = Files(folder / "ca.pem", folder / "certificate.pem", folder / "key.pem")
-    files.ca.write_bytes(built("test CA", "test CA", root, root,
-                               True).public_bytes(serialization.Encoding.PEM))
+    files.ca.write_bytes(
+        built("test CA", "test CA", root, root, True).public_bytes(serialization.Encoding.PEM)
+    )
     files.certificate.write_bytes(
-        built("localhost", "test CA", leaf, root, False).public_bytes(serialization.Encoding.PEM))
-    files.key.write_bytes(leaf.private_bytes(
-        serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()))
+        built("localhost", "test CA", leaf, root, False).public_bytes(serialization.Encoding.PEM)
+    )
+    files.key.write_bytes(
+        leaf.private_bytes(
+            serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()
+        )
+    )
     return files
 
 
-def text_of(address: str, boxes: dict[str, str], tls: Files | None = None, slots: int = 1000,
-            attempts: int = 4) -> str:
+def text_of(
+    address: str, boxes: dict[str, str], tls: Files | None = None, slots: int = 1000, attempts: int = 4
+) -> str:
     """A configuration in front of the boxes, named with their addresses."""
     instances = "".join(f'  instance "{name}" {{\n    address = "{at}"\n  }}\n' for name, at in boxes.items())
     listener_tls = pool_tls = ""
     if tls is not None:
         listener_tls = f'  tls {{\n    certificate = "{tls.certificate}"\n    key = "{tls.key}"\n  }}\n'
         pool_tls = f'  tls {{\n    ca = "{tls.ca}"\n  }}\n'
-    return CONFIG.format(address=address, instances=instances, tls=listener_tls, pool_tls=pool_tls,
-                         slots=slots,
-                         limits=LIMITS, attempts=attempts)
+    return CONFIG.format(
+        address=address,
+        instances=instances,
+        tls=listener_tls,
+        pool_tls=pool_tls,
+        slots=slots,
+        limits=LIMITS,
+        attempts=attempts,
+    )
 
 
 @dataclass(slots=True)
@@ -143,14 +160,28 @@
 
 
 @contextmanager
-def program(folder: Path, boxes: dict[str, str], tls: Files | None = None, core: int | None = None,
-            slots: int = 1000, attempts: int = 4) -> Iterator[Program]:
+def program(
+    folder: Path,
+    boxes: dict[str, str],
+    tls: Files | None = None,
+    core: int | None = None,
+    slots: int = 1000,
+    attempts: int = 4,
+) -> Iterator[Program]:
     """Started and listening; ended at the end."""
     address = f"127.0.0.1:{free_port()}"
     path = folder / f"bench-{address[-5:]}.hcl"
     path.write_text(text_of(address, boxes, tls, slots, attempts))
-    command = [sys.executable, "-m", "pulleyroute.cli", "serve", "--config", str(path), "--log-level",
-               "error"]
+    command = [
+        sys.executable,
+        "-m",
+        "pulleyroute.cli",
+        "serve",
+        "--config",
+        str(path),
+        "--log-level",
+        "error",
+    ]
     process = subprocess.Popen(command, cwd=Path(__file__).parent.parent)
     if core is not None:
         os.sched_setaffinity(process.pid, {core})
@@ -164,6 +195,7 @@
 
 def await_port(process: subprocess.Popen[bytes], address: str) -> None:
     import socket
+
     host, port = address.rsplit(":", 1)
     end = time.monotonic() + 30
     while time.monotonic() < end and process.poll() is None:
@@ -176,8 +208,13 @@
 def channel(
     address: str, tls: Files | None = None, options: list[tuple[str, object]] | None = None
 ) -> grpc.Channel:
-    options = [("grpc.max_receive_message_length", -1), ("grpc.max_send_message_length", -1),
-               ("grpc.use_local_subchannel_pool", 1), ("grpc.enable_retries", 0), *(options or [])]
+    options = [
+        ("grpc.max_receive_message_length", -1),
+        ("grpc.max_send_message_length", -1),
+        ("grpc.use_local_subchannel_pool", 1),
+        ("grpc.enable_retries", 0),
+        *(options or []),
+    ]
     if tls is None:
         return grpc.insecure_channel(address, options)
     return grpc.secure_channel(address, grpc.ssl_channel_credentials(tls.ca.read_bytes()), options)
@@ -185,6 +222,12 @@
 
 def machine() -> str:
     """What a table was measured on, in a few words without names."""
-    model = next((line.split(":", 1)[1].strip() for line in Path("/proc/cpuinfo").read_text().splitlines()
-                  if line.startswith("model name")), "unknown processor")
+    model = next(
+        (
+            line.split(":", 1)[1].strip()
+            for line in Path("/proc/cpuinfo").read_text().splitlines()
+            if line.startswith("model name")
+        ),
+        "unknown processor",
+    )
     return f"{os.cpu_count()} cores, {model}, Python {sys.version.split()[0]}, grpcio {grpc.__version__}"
--- a/benchmarks/fleet_log.py
+++ b/benchmarks/fleet_log.py
@@ -84,8 +84,14 @@
             kinds["probes" if event.values["outcome"] == "ok" else "failed probes"].append(event)
         elif event.name in ("connect", "list"):
             kinds["new connections" if event.name == "connect" else "list calls"].append(event)
-    return {kind: (len(events), max(Counter(int(e.at) for e in events).values()),
-                   max(Counter(e.dispatcher for e in events).values())) for kind, events in kinds.items()}
+    return {
+        kind: (
+            len(events),
+            max(Counter(int(e.at) for e in events).values()),
+            max(Counter(e.dispatcher for e in events).values()),
+        )
+        for kind, events in kinds.items()
+    }
 
 
 def tally(items: Iterable[tuple[K, bool]]) -> dict[K, tuple[int, int]]:
@@ -100,8 +106,10 @@
 def crossings(fleet: Fleet) -> dict[tuple[str, str], tuple[int, int]]:
     """By class, and whether it is the first push: how many there are, and how many cross halls."""
     pushes = [event.values for event in fleet.of("push")]
-    return tally(((push["cls"], "first" if push["index"] == "0" else "again"), push["zone"] != push["to"])
-                 for push in pushes)
+    return tally(
+        ((push["cls"], "first" if push["index"] == "0" else "again"), push["zone"] != push["to"])
+        for push in pushes
+    )
 
 
 def found(fleet: Fleet) -> dict[tuple[str, str], tuple[int, int]]:
@@ -127,8 +135,11 @@
     for names in halls.values():
         mean = sum(len(pushes[name]) for name in names) / len(names)
         for name in names:
-            table[name] = (len(pushes[name]), len(pushes[name]) / mean,
-                           len({event.dispatcher for event in pushes[name]}))
+            table[name] = (
+                len(pushes[name]),
+                len(pushes[name]) / mean,
+                len({event.dispatcher for event in pushes[name]}),
+            )
     return table
 
 
@@ -138,8 +149,10 @@
     for event in fleet.of("push"):
         if event.cold:
             times[event.values["instance"]].append(event.at)
-    return {name: max(sum(1 for other in at if first <= other < first + WINDOW) for first in at)
-            for name, at in times.items()}
+    return {
+        name: max(sum(1 for other in at if first <= other < first + WINDOW) for first in at)
+        for name, at in times.items()
+    }
 
 
 def seconds(fleet: Fleet) -> list[str]:
@@ -154,20 +167,31 @@
 def report(fleet: Fleet) -> list[str]:
     """The tables as lines of Markdown."""
     lines = ["| calls | in all | peak second | most of one dispatcher |", "| --- | --- | --- | --- |"]
-    lines += [f"| {kind} | {count} | {peak} | {most} |"
-              for kind, (count, peak, most) in sorted(calls(fleet).items())]
+    lines += [
+        f"| {kind} | {count} | {peak} | {most} |"
+        for kind, (count, peak, most) in sorted(calls(fleet).items())
+    ]
     lines += ["", "| pushes | in all | crossing |", "| --- | --- | --- |"]
-    lines += [f"| {cls} {which} | {count} | {crossing} |"
-              for (cls, which), (count, crossing) in sorted(crossings(fleet).items())]
+    lines += [
+        f"| {cls} {which} | {count} | {crossing} |"
+        for (cls, which), (count, crossing) in sorted(crossings(fleet).items())
+    ]
     lines += ["", "| home pushes by reading | in all | started at once |", "| --- | --- | --- |"]
-    lines += [f"| {room}, {age} | {count} | {prompt / count:.2f} |"
-              for (room, age), (count, prompt) in sorted(found(fleet).items())]
+    lines += [
+        f"| {room}, {age} | {count} | {prompt / count:.2f} |"
+        for (room, age), (count, prompt) in sorted(found(fleet).items())
+    ]
     table, cold = spread(fleet).values(), sorted(cold_windows(fleet).values())
-    lines += ["", f"fullest instance against the mean of its hall {max(ratio for _, ratio, _ in table):.2f}, "
-              f"most dispatchers at one {max(users for _, _, users in table)}"]
+    lines += [
+        "",
+        f"fullest instance against the mean of its hall {max(ratio for _, ratio, _ in table):.2f}, "
+        f"most dispatchers at one {max(users for _, _, users in table)}",
+    ]
     if cold:
-        lines.append(f"cold instances {len(cold)}, pushes in their fullest {WINDOW:.0f} s: "
-                     f"median {cold[len(cold) // 2]}, most {cold[-1]}")
+        lines.append(
+            f"cold instances {len(cold)}, pushes in their fullest {WINDOW:.0f} s: "
+            f"median {cold[len(cold) // 2]}, most {cold[-1]}"
+        )
     return lines
 
 
--- a/benchmarks/fleet_rest.py
+++ b/benchmarks/fleet_rest.py
@@ -48,8 +48,10 @@
     """Calls a second for each member at rest, and processor time in microseconds a member and second."""
     loop = VirtualLoop()
     server = Server(loop)
-    agents = [Agent(loop, BufferPool(), [server.address], Place("g", f"m{i}", f"z{i % 3}"), Still(), i)
-              for i in range(size)]
+    agents = [
+        Agent(loop, BufferPool(), [server.address], Place("g", f"m{i}", f"z{i % 3}"), Still(), i)
+        for i in range(size)
+    ]
     for agent in agents:
         agent.start()
 
--- a/benchmarks/grpc_cost.py
+++ b/benchmarks/grpc_cost.py
@@ -105,8 +105,10 @@
         assert box.stdout is not None
         target = box.stdout.readline().decode().strip()
         listen = f"127.0.0.1:{free_port()}"
-        with program(Path(folder), {"box": target}, core=cores[0]) as ours, \
-                child("benchmarks.aio_proxy", listen, target, core=cores[min(1, len(cores) - 1)]) as proxy:
+        with (
+            program(Path(folder), {"box": target}, core=cores[0]) as ours,
+            child("benchmarks.aio_proxy", listen, target, core=cores[min(1, len(cores) - 1)]) as proxy,
+        ):
             await_port(proxy, listen)
             peers = {"pulleyroute": (ours.address, ours.process.pid), "grpc.aio": (listen, proxy.pid)}
             with channel(ours.address) as one, channel(listen) as two:
@@ -119,8 +121,10 @@
                             before = cpu_of(pid)
                             load(via[peer])
                             costs.setdefault((name, peer), []).append((cpu_of(pid) - before) / count * 1e6)
-    lines = ["| load | pulleyroute, us of CPU | grpc.aio proxy, us of CPU | ratio | goal |",
-             "| --- | --- | --- | --- | --- |"]
+    lines = [
+        "| load | pulleyroute, us of CPU | grpc.aio proxy, us of CPU | ratio | goal |",
+        "| --- | --- | --- | --- | --- |",
+    ]
     for (name, _, _), goal in zip(loads, ("1.0", "0.5", "0.5"), strict=True):
         a, b = (statistics.median(costs[name, peer]) for peer in ("pulleyroute", "grpc.aio"))
         pairs = zip(costs[name, "pulleyroute"], costs[name, "grpc.aio"], strict=True)
@@ -128,13 +132,24 @@
         lines.append(f"| {name} | {a:.0f} | {b:.0f} | {ratio:.2f} | {goal} |")
     print("\n".join(lines))
     if "--write" in sys.argv:
-        Path("docs/measured/grpc-cost.md").write_text("\n".join([
-            "# CPU of a gRPC call and a streamed message", "",
-            "Command: `python -m benchmarks.grpc_cost --write`. Medians of interleaved rounds; ratio: median",
-            "of the rounds' ratios. One core for the program, one for the proxy; 16 unary calls or 4 streams",
-            "at once.",
-            f"Run on: {machine()}; {rounds} rounds of {calls} unary calls and {streams} streams each.", "",
-            *lines, ""]))
+        Path("docs/measured/grpc-cost.md").write_text(
+            "\n".join(
+                [
+                    "# CPU of a gRPC call and a streamed message",
+                    "",
+                    "Command: `python -m benchmarks.grpc_cost --write`. Medians of interleaved",
+                    "rounds; ratio: median",
+                    "of the rounds' ratios. One core for the program, one for the proxy; 16 unary",
+                    "calls or 4 streams",
+                    "at once.",
+                    f"Run on: {machine()}; {rounds} rounds of {calls} unary calls and {streams}",
+                    "streams each.",
+                    "",
+                    *lines,
+                    "",
+                ]
+            )
+        )
     return 0
 
 
--- a/benchmarks/grpc_faults.py
+++ b/benchmarks/grpc_faults.py
@@ -21,21 +21,29 @@
 
 
 def table(outcomes: list[Outcome]) -> list[str]:
-    lines = ["| seed | calls | attempts | rules broken | OK | other statuses |",
-             "| --- | --- | --- | --- | --- | --- |"]
+    lines = [
+        "| seed | calls | attempts | rules broken | OK | other statuses |",
+        "| --- | --- | --- | --- | --- | --- |",
+    ]
     for each in outcomes:
-        others = ", ".join(f"{Status(code).name} {count}" for code,
-                           count in sorted(each.statuses.items()) if code > 0)
-        lines.append(f"| {each.seed} | {each.calls} | {each.attempts} | {len(each.broken)} "
-                     f"| {each.statuses[0]} | {others} |")
+        others = ", ".join(
+            f"{Status(code).name} {count}" for code, count in sorted(each.statuses.items()) if code > 0
+        )
+        lines.append(
+            f"| {each.seed} | {each.calls} | {each.attempts} | {len(each.broken)} "
+            f"| {each.statuses[0]} | {others} |"
+        )
     return lines
 
 
 def main() -> int:
     logger.remove()
     calls = option("--calls", 2000)
-    seeds = [option("--seed", 0)] if "--seed" in sys.argv else (
-        [1, 2, 3] if "--write" in sys.argv else [random.randrange(10**6)])
+    seeds = (
+        [option("--seed", 0)]
+        if "--seed" in sys.argv
+        else ([1, 2, 3] if "--write" in sys.argv else [random.randrange(10**6)])
+    )
     outcomes = []
     for seed in seeds:
         again = f"python -m benchmarks.grpc_faults --seed {seed} --calls {calls}"
@@ -46,16 +54,33 @@
             print("BROKEN", line)
         print("\n".join(table([outcome])))
     if "--write" in sys.argv:
-        acts = "\n".join(f"| {ending} | {count} |" for ending, count in sorted(
-            sum((each.acts for each in outcomes[1:]), outcomes[0].acts).items()))
-        Path("docs/measured/grpc-faults.md").write_text("\n".join([
-            "# gRPC calls under random faults", "",
-            "Command: `python -m benchmarks.grpc_faults --write`; one seed again: `--seed N --calls 2000`.",
-            f"Run on: {machine()}.",
-            "Virtual clock, real sockets; four boxes that crash, drain and return; half of the calls must",
-            "never run twice. A judge that knows what boxes and clients saw finds the broken rules.", "",
-            *table(outcomes), "", "What the boxes did with the attempts:", "", "| ending | attempts |",
-            "| --- | --- |", acts, ""]))
+        acts = "\n".join(
+            f"| {ending} | {count} |"
+            for ending, count in sorted(sum((each.acts for each in outcomes[1:]), outcomes[0].acts).items())
+        )
+        Path("docs/measured/grpc-faults.md").write_text(
+            "\n".join(
+                [
+                    "# gRPC calls under random faults",
+                    "",
+                    "Command: `python -m benchmarks.grpc_faults --write`; one seed again: `--seed N",
+                    "--calls 2000`.",
+                    f"Run on: {machine()}.",
+                    "Virtual clock, real sockets; four boxes that crash, drain and return; half of",
+                    "the calls must",
+                    "never run twice. A judge that knows what boxes and clients saw finds the broken rules.",
+                    "",
+                    *table(outcomes),
+                    "",
+                    "What the boxes did with the attempts:",
+                    "",
+                    "| ending | attempts |",
+                    "| --- | --- |",
+                    acts,
+                    "",
+                ]
+            )
+        )
     return 1 if any(each.broken for each in outcomes) else 0
 
 
--- a/benchmarks/grpc_matrix.py
+++ b/benchmarks/grpc_matrix.py
@@ -55,8 +55,12 @@
         found += [
             Case(f"{kind} ok", kind, messages=many),
             Case(f"{kind} initial metadata", kind, (("x-initial", "1"),), many),
-            Case(f"{kind} repeated and binary metadata", kind,
-                 (("x-a", "1"), ("x-b-bin", b"\x00\x01\xff"), ("x-a", "2"), ("x-c-bin", b"")), many),
+            Case(
+                f"{kind} repeated and binary metadata",
+                kind,
+                (("x-a", "1"), ("x-b-bin", b"\x00\x01\xff"), ("x-a", "2"), ("x-c-bin", b"")),
+                many,
+            ),
             Case(f"{kind} empty message", kind, messages=(b"",)),
             Case(f"{kind} 1 MiB", kind, messages=(b"\x05" * 1024**2,)),
             Case(f"{kind} 4 MiB", kind, messages=(b"\x06" * 4 * 1024**2,)),
@@ -64,18 +68,39 @@
             Case(f"{kind} no deadline", kind, messages=many, timeout=None),
             Case(f"{kind} deadline over", kind, (("x-wait-ms", "3000"),), many, timeout=0.4),
             Case(f"{kind} unknown method", f"Nothing{kind.lower()}", messages=(b"x",)),
-            Case(f"{kind} details that need escapes", kind,
-                 (("x-status", "9"), ("x-details", "50% done, a%20b")), many),
+            Case(
+                f"{kind} details that need escapes",
+                kind,
+                (("x-status", "9"), ("x-details", "50% done, a%20b")),
+                many,
+            ),
             Case(f"{kind} safe class", kind, messages=many, service="test.Safe"),
         ]
         for code in range(1, 17):
-            found.append(Case(f"{kind} status {code}", kind,
-                              (("x-status", str(code)), ("x-details", f"code {code}")), many))
+            found.append(
+                Case(
+                    f"{kind} status {code}",
+                    kind,
+                    (("x-status", str(code)), ("x-details", f"code {code}")),
+                    many,
+                )
+            )
     for code in (2, 5, 13, 14):
-        found.append(Case(f"Spread status {code} after 2 messages", "Spread",
-                          (("x-status", str(code)), ("x-fail-after", "2"), ("x-count", "5"))))
-        found.append(Case(f"Echo status {code} after 2 messages", "Echo",
-                          (("x-status", str(code)), ("x-fail-after", "2")), (b"1", b"2", b"3", b"4")))
+        found.append(
+            Case(
+                f"Spread status {code} after 2 messages",
+                "Spread",
+                (("x-status", str(code)), ("x-fail-after", "2"), ("x-count", "5")),
+            )
+        )
+        found.append(
+            Case(
+                f"Echo status {code} after 2 messages",
+                "Echo",
+                (("x-status", str(code)), ("x-fail-after", "2")),
+                (b"1", b"2", b"3", b"4"),
+            )
+        )
     found.append(Case("Spread 1,000 messages", "Spread", (("x-count", "1000"), ("x-size", "100"))))
     found.append(Case("Echo 1,000 messages", "Echo", messages=tuple(b"%d" % i for i in range(1000))))
     found.append(Case("Gather answered early", "Gather", (("x-early", "1"),), tuple(b"x" for _ in range(5))))
@@ -105,8 +130,13 @@
             messages.append(message)
     except grpc.RpcError as exc:
         call = exc
-    return Seen(call.code().value[0], call.details() or "", _kept(call.initial_metadata()),
-                _kept(call.trailing_metadata()), messages)
+    return Seen(
+        call.code().value[0],
+        call.details() or "",
+        _kept(call.initial_metadata()),
+        _kept(call.trailing_metadata()),
+        messages,
+    )
 
 
 def _kept(metadata: Any) -> list[tuple[str, Any]]:
@@ -133,8 +163,11 @@
         credentials = grpc.ssl_server_credentials([(files.key.read_bytes(), files.certificate.read_bytes())])
     box = CallBox("box", Book(), credentials=credentials)
     try:
-        with program(folder, {"box": box.address}, files) as started, \
-                channel(box.address, files) as direct, channel(started.address, files) as through:
+        with (
+            program(folder, {"box": box.address}, files) as started,
+            channel(box.address, files) as direct,
+            channel(started.address, files) as through,
+        ):
             for case in cases():
                 yield case, differences(play(direct, case), play(through, case), case)
     finally:
@@ -142,9 +175,13 @@
 
 
 def main() -> int:
-    lines = ["# gRPC through the dispatcher beside gRPC direct", "",
-             "Command: `python -m benchmarks.grpc_matrix --write`: a grpcio box, grpcio's client.",
-             f"Run on: {machine()}.", ""]
+    lines = [
+        "# gRPC through the dispatcher beside gRPC direct",
+        "",
+        "Command: `python -m benchmarks.grpc_matrix --write`: a grpcio box, grpcio's client.",
+        f"Run on: {machine()}.",
+        "",
+    ]
     rows, unequal, count = [], 0, 0
     with tempfile.TemporaryDirectory() as folder:
         for tls in (False, True):
@@ -155,8 +192,13 @@
                 rows.append(f"| {name} | {'; '.join(found) if found else 'equal'} |")
                 if found:
                     print(name, found)
-    lines += [f"{count} cases, none skipped: {count - unequal} equal, {unequal} not.", "",
-              "| case | result |", "| --- | --- |", *rows]
+    lines += [
+        f"{count} cases, none skipped: {count - unequal} equal, {unequal} not.",
+        "",
+        "| case | result |",
+        "| --- | --- |",
+        *rows,
+    ]
     print(lines[5])
     if "--write" in sys.argv:
         path = Path("docs/measured/grpc-matrix.md")
--- a/benchmarks/grpc_memory.py
+++ b/benchmarks/grpc_memory.py
@@ -26,11 +26,13 @@
 
 def box(pipe: Any) -> None:
     """Serves in a process of its own; sends its address."""
+
     class Handler(grpc.GenericRpcHandler):  # type: ignore[misc]
         def service(self, details: Any) -> Any:
             async def spread(request: bytes, context: Any) -> Any:
                 for _ in range(COUNT):
                     yield b"x" * MESSAGE
+
             return grpc.unary_stream_rpc_method_handler(spread)
 
     async def serve() -> None:
@@ -85,27 +87,43 @@
     child.start()
     try:
         port = pipe.recv()
-        with tempfile.TemporaryDirectory() as folder, program(
-                Path(folder), {"box": f"127.0.0.1:{port}"}, slots=10_000) as started:
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            program(Path(folder), {"box": f"127.0.0.1:{port}"}, slots=10_000) as started,
+        ):
             before, held, after, count = asyncio.run(measure(started, streams))
             again = asyncio.run(measure(started, streams))[1]
     finally:
         child.kill()
     each = (held - before) / count
-    lines = ["| streams | before | silent readers | a stream | bound a stream | after | as many again |",
-             "| --- | --- | --- | --- | --- | --- | --- |",
-             f"| {count} | {before / 2**20:.1f} MiB | {held / 2**20:.1f} MiB | {each / 1024:.1f} KiB | "
-             f"64 KiB of window and some KiB of objects | {after / 2**20:.1f} MiB | "
-             f"{again / 2**20:.1f} MiB |"]
+    lines = [
+        "| streams | before | silent readers | a stream | bound a stream | after | as many again |",
+        "| --- | --- | --- | --- | --- | --- | --- |",
+        f"| {count} | {before / 2**20:.1f} MiB | {held / 2**20:.1f} MiB | {each / 1024:.1f} KiB | "
+        f"64 KiB of window and some KiB of objects | {after / 2**20:.1f} MiB | "
+        f"{again / 2**20:.1f} MiB |",
+    ]
     print("\n".join(lines))
     if "--write" in sys.argv:
-        Path("docs/measured/grpc-memory.md").write_text("\n".join([
-            "# Memory of streams whose clients read slowly", "",
-            "Command: `python -m benchmarks.grpc_memory --write`. Each stream has 1 MiB to come and its",
-            "client reads the first 4 KiB alone. What the dispatcher holds of a stream is bounded by the",
-            "window that it gives the instance (`window` of the pool, 65,535 bytes): nothing is read beyond",
-            "it until the client has read.",
-            f"Run on: {machine()}.", "", *lines, ""]))
+        Path("docs/measured/grpc-memory.md").write_text(
+            "\n".join(
+                [
+                    "# Memory of streams whose clients read slowly",
+                    "",
+                    "Command: `python -m benchmarks.grpc_memory --write`. Each stream has 1 MiB to",
+                    "come and its",
+                    "client reads the first 4 KiB alone. What the dispatcher holds of a stream is",
+                    "bounded by the",
+                    "window that it gives the instance (`window` of the pool, 65,535 bytes):",
+                    "nothing is read beyond",
+                    "it until the client has read.",
+                    f"Run on: {machine()}.",
+                    "",
+                    *lines,
+                    "",
+                ]
+            )
+        )
     # What the first round held must serve the second: a tenth more would be memory that nobody lets go of.
     return 0 if each < 80 * 1024 and again < held * 1.1 else 1
 
--- a/benchmarks/rest_memory.py
+++ b/benchmarks/rest_memory.py
@@ -31,9 +31,12 @@
     with tempfile.TemporaryDirectory() as place:
         path = Path(place) / "config.json"
         path.write_text(json.dumps(config))
-        process = subprocess.Popen([sys.executable, "-m", "pulleyroute"], cwd=folder,
-                                   stderr=subprocess.DEVNULL,
-                                   env={**os.environ, "PROXY_CONFIG": str(path), "PYTHONPATH": str(folder)})
+        process = subprocess.Popen(
+            [sys.executable, "-m", "pulleyroute"],
+            cwd=folder,
+            stderr=subprocess.DEVNULL,
+            env={**os.environ, "PROXY_CONFIG": str(path), "PYTHONPATH": str(folder)},
+        )
         try:
             time.sleep(2)
             text = Path(f"/proc/{process.pid}/status").read_text()
@@ -54,14 +57,28 @@
             for folder, readings in seen.items():
                 readings.append(resident(folder))
         before, now = (statistics.median(each[1:]) for each in seen.values())  # the first one compiles
-    lines = ["| revision | resident at rest |", "| --- | --- |", f"| {revision} | {before / 1024:.1f} MiB |",
-             f"| work tree | {now / 1024:.1f} MiB |"]
+    lines = [
+        "| revision | resident at rest |",
+        "| --- | --- |",
+        f"| {revision} | {before / 1024:.1f} MiB |",
+        f"| work tree | {now / 1024:.1f} MiB |",
+    ]
     print("\n".join(lines))
     if "--write" in sys.argv:
-        Path("docs/measured/rest-memory.md").write_text("\n".join([
-            "# Memory at rest of the platform's dispatcher", "",
-            f"Command: `python -m benchmarks.rest_memory {revision} --write`: medians of three starts.",
-            f"Run on: {machine()}.", "", *lines, ""]))
+        Path("docs/measured/rest-memory.md").write_text(
+            "\n".join(
+                [
+                    "# Memory at rest of the platform's dispatcher",
+                    "",
+                    f"Command: `python -m benchmarks.rest_memory {revision} --write`: medians of",
+                    "three starts.",
+                    f"Run on: {machine()}.",
+                    "",
+                    *lines,
+                    "",
+                ]
+            )
+        )
     return 0 if now <= before * 1.01 else 1
 
 
--- a/benchmarks/upgrade.py
+++ b/benchmarks/upgrade.py
@@ -23,21 +23,51 @@
         served = sum(n for (_, ending), n in result.endings.items() if ending == "served")
         other = sum(result.endings.values()) - served
         bad += len(result.broken) + len(result.unheard) + sum(map(abs, result.exits))
-        rows.append((name, UPGRADES, served, other, len(result.broken), len(result.unheard),
-                     *(f"{max(each.memory_mb for each in held):.0f}" for held in (one, two)),
-                     *(max(each.descriptors for each in held) for held in (one, two))))
-    names = ("boxes", "upgrades", "served", "otherwise", "rules broken", "call-backs lost",
-             "MiB, one process", "MiB, two", "descriptors, one", "descriptors, two")
+        rows.append(
+            (
+                name,
+                UPGRADES,
+                served,
+                other,
+                len(result.broken),
+                len(result.unheard),
+                *(f"{max(each.memory_mb for each in held):.0f}" for held in (one, two)),
+                *(max(each.descriptors for each in held) for held in (one, two)),
+            )
+        )
+    names = (
+        "boxes",
+        "upgrades",
+        "served",
+        "otherwise",
+        "rules broken",
+        "call-backs lost",
+        "MiB, one process",
+        "MiB, two",
+        "descriptors, one",
+        "descriptors, two",
+    )
     lines = ["| " + " | ".join(names) + " |", "|" + " --- |" * len(names)]
     lines += ["| " + " | ".join(map(str, row)) + " |" for row in rows]
     print("\n".join(lines))
     if "--write" in sys.argv:
-        Path("docs/measured/upgrade.md").write_text("\n".join([
-            "# Upgrades under load", "",
-            f"Command: `python -m benchmarks.upgrade --write`. Limits: {MEMORY_MB} MB, {SOCKETS}",
-            "descriptors. Memory is resident, pages that both processes share counted twice. The most of",
-            "looks every 20 ms.",
-            "", f"Run on: {machine()}.", "", *lines, ""]))
+        Path("docs/measured/upgrade.md").write_text(
+            "\n".join(
+                [
+                    "# Upgrades under load",
+                    "",
+                    f"Command: `python -m benchmarks.upgrade --write`. Limits: {MEMORY_MB} MB, {SOCKETS}",
+                    "descriptors. Memory is resident, pages that both processes share counted",
+                    "twice. The most of",
+                    "looks every 20 ms.",
+                    "",
+                    f"Run on: {machine()}.",
+                    "",
+                    *lines,
+                    "",
+                ]
+            )
+        )
     return 1 if bad else 0
 
 
--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -74,10 +74,25 @@
             stream.close()
 
     def table(self) -> bytes:
-        return json.dumps({"revision": 1, "complete": True, "members": [
-            {"id": name, "host_port": f"{self.host}:{port}", "locality": "leicester", "flavor": "new-kit",
-             "cell": 0, "phase": "active", "size": 1.0, "up_since_ms": 0}
-            for name, port in INSTANCES.items()]}).encode()
+        return json.dumps(
+            {
+                "revision": 1,
+                "complete": True,
+                "members": [
+                    {
+                        "id": name,
+                        "host_port": f"{self.host}:{port}",
+                        "locality": "leicester",
+                        "flavor": "new-kit",
+                        "cell": 0,
+                        "phase": "active",
+                        "size": 1.0,
+                        "up_since_ms": 0,
+                    }
+                    for name, port in INSTANCES.items()
+                ],
+            }
+        ).encode()
 
     def watched(self, stream: Stream) -> Coroutine[None]:
         """The whole list, then an empty line every 2 s."""
@@ -104,8 +119,11 @@
         except (Broken, Late):
             return
         try:
-            head = h11.Request(method=b"POST", target=b"/callback", headers=[
-                (b"Host", b"dispatcher"), (b"Content-Length", b"%d" % len(body))])
+            head = h11.Request(
+                method=b"POST",
+                target=b"/callback",
+                headers=[(b"Host", b"dispatcher"), (b"Content-Length", b"%d" % len(body))],
+            )
             yield from stream.send(stream.frame(head, body), until)
             yield from stream.response(until)
         except (Broken, Late, Malformed):
--- a/pulleyroute/__main__.py
+++ b/pulleyroute/__main__.py
@@ -125,8 +125,9 @@
     discovery = DiscoveryClient(loop, pool, config.discovery, config.settings, epoch, config.seed + 1)
     figures = Figures()
     budget = budget_of(config)
-    instances = Instances(loop, pool, discovery, config.settings, int(budget * INSTANCE_SHARE), figures,
-                          config.seed + 2)
+    instances = Instances(
+        loop, pool, discovery, config.settings, int(budget * INSTANCE_SHARE), figures, config.seed + 2
+    )
     host = Host(loop, config.settings, config.seed, discovery, instances)
     if config.known is not None:
         try:
@@ -134,8 +135,15 @@
         except ValueError as exc:
             raise ConfigError(f"known: {exc}") from None
     clients = ServiceClient(
-        loop, pool, ledger, host, config.settings, int(budget * CLIENT_SHARE), int(budget * JOB_SHARE),
-        figures)
+        loop,
+        pool,
+        ledger,
+        host,
+        config.settings,
+        int(budget * CLIENT_SHARE),
+        int(budget * JOB_SHARE),
+        figures,
+    )
     parts = Parts(config, ledger, discovery, instances, clients, host, figures)
     if listener is None:
         listening(config.listen, clients.listen)
@@ -182,8 +190,11 @@
     old = parts.config
     logger.bind(event="config.reloaded").info(
         "configuration read again: discovery {}:{}, limits.sockets {}, limits.memory_mb {}, classes {}",
-        *config.discovery, config.sockets, config.memory_mb,
-        ", ".join(cls.name for cls in config.settings.classes))
+        *config.discovery,
+        config.sockets,
+        config.memory_mb,
+        ", ".join(cls.name for cls in config.settings.classes),
+    )
     for name in ("name", "listen", "management"):
         if getattr(config, name) != getattr(old, name):
             logger.warning("a change of {} needs a restart", name)
@@ -208,8 +219,9 @@
         return 2
     loop.spawn(heeding(source, lambda: reload(parts), parts.clients.stop), "signals")
     gc.freeze()
-    logger.bind(event="started").info("pulleyroute {} as {} on {}:{}", __version__, config.name,
-                                      *config.listen)
+    logger.bind(event="started").info(
+        "pulleyroute {} as {} on {}:{}", __version__, config.name, *config.listen
+    )
     loop.run()
     sink.close()
     return 0
--- a/pulleyroute/cli/campaign.py
+++ b/pulleyroute/cli/campaign.py
@@ -25,15 +25,26 @@
     def tell(outcome: Outcome) -> None:
         ends = ", ".join(f"{count} {ending}" for ending, count in sorted(outcome.endings.items()))
         release = f" release {outcome.ended};" if outcome.ended else ""
-        print(f"seed {outcome.seed}: faults {outcome.faults}, planned out {outcome.out}, most at once "
-              f"{outcome.most_out}, runners drained {outcome.drained};{release} {ends}; "
-              f"broken {len(outcome.broken)}", flush=True)
+        print(
+            f"seed {outcome.seed}: faults {outcome.faults}, planned out {outcome.out}, most at once "
+            f"{outcome.most_out}, runners drained {outcome.drained};{release} {ends}; "
+            f"broken {len(outcome.broken)}",
+            flush=True,
+        )
         if outcome.broken:
-            for line in [*outcome.broken, "what was done:", *map(str, DRAWN[kind](outcome.seed).deeds),
-                         "what was seen:", *outcome.log]:
+            for line in [
+                *outcome.broken,
+                "what was done:",
+                *map(str, DRAWN[kind](outcome.seed).deeds),
+                "what was seen:",
+                *outcome.log,
+            ]:
                 print(f"  {line}")
-            print(f"  again: pulleyroute campaign {kind} --seed {outcome.seed} --runs 1 --out FOLDER",
-                  flush=True)
+            print(
+                f"  again: pulleyroute campaign {kind} --seed {outcome.seed} --runs 1 --out FOLDER",
+                flush=True,
+            )
+
     ended = campaign(kind, seed, runs, jobs, tell, out)
     broken = sum(1 for outcome in ended if outcome.broken)
     print(f"campaign {kind}: runs {len(ended)}, faults {sum(each.faults for each in ended)}, broken {broken}")
--- a/pulleyroute/cli/check.py
+++ b/pulleyroute/cli/check.py
@@ -24,9 +24,10 @@
         config = load(file)
     except Invalid as exc:
         if as_json:
-            problems = [{name: getattr(each, name) for name in ("file", "line", "key", "expected", "found",
-                                                                "near")}
-                        for each in exc.problems]
+            problems = [
+                {name: getattr(each, name) for name in ("file", "line", "key", "expected", "found", "near")}
+                for each in exc.problems
+            ]
             print(json.dumps({"ok": False, "problems": problems}))
         else:
             print(exc, file=sys.stderr)
@@ -34,5 +35,7 @@
     if as_json:
         print(json.dumps({"ok": True, "config": msgspec.to_builtins(config)}))
     else:
-        print(f"{file}: {len(config.listener)} listeners, {len(config.pool)} pools, "
-              f"{len(config.job_class)} classes, {len(config.route)} routes: can be used")
+        print(
+            f"{file}: {len(config.listener)} listeners, {len(config.pool)} pools, "
+            f"{len(config.job_class)} classes, {len(config.route)} routes: can be used"
+        )
--- a/pulleyroute/cli/demo.py
+++ b/pulleyroute/cli/demo.py
@@ -11,8 +11,10 @@
 from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeRemainingColumn
 from rich.table import Table
 
-HELP = ("Start the dispatcher on embedded stand-ins, play jobs and gRPC calls through a drain and a "
-        "crash, and show what became of them.")
+HELP = (
+    "Start the dispatcher on embedded stand-ins, play jobs and gRPC calls through a drain and a "
+    "crash, and show what became of them."
+)
 EXAMPLES = "Examples:\n\n`pulleyroute demo`\n\n`pulleyroute demo --seconds 20 --rate 100 --json`"
 
 
@@ -29,8 +31,14 @@
         raise typer.Exit(1) from None
     demo = Demo(rate, seconds, seed)
     console = Console(stderr=as_json)
-    with Progress(TextColumn("playing"), BarColumn(), MofNCompleteColumn(), TextColumn("answered"),
-                  TimeRemainingColumn(), console=console) as progress:
+    with Progress(
+        TextColumn("playing"),
+        BarColumn(),
+        MofNCompleteColumn(),
+        TextColumn("answered"),
+        TimeRemainingColumn(),
+        console=console,
+    ) as progress:
         bar = progress.add_task("", total=int(rate * seconds))
         try:
             result = demo.run(lambda share, done: progress.update(bar, completed=done))
@@ -38,23 +46,36 @@
             print(f"pulleyroute: {exc}", file=sys.stderr)
             raise typer.Exit(1) from None
     rows = [
-        (name, row.asked, *(row.endings[each] for each in ("served", "refused", "failed")),
-         row.took.get_value_at_percentile(50) / 1000, row.took.get_value_at_percentile(99) / 1000,
-         result.attempts[name])
+        (
+            name,
+            row.asked,
+            *(row.endings[each] for each in ("served", "refused", "failed")),
+            row.took.get_value_at_percentile(50) / 1000,
+            row.took.get_value_at_percentile(99) / 1000,
+            result.attempts[name],
+        )
         for name, row in result.rows.items()
     ]
     names = ("kind", "asked", "served", "refused", "failed", "p50 ms", "p99 ms", "runs")
     if as_json:
-        print(json.dumps({"rows": [dict(zip(names, row, strict=True)) for row in rows],
-                          "broken": result.broken, "figures": result.figures,
-                          "seconds": round(result.seconds, 3)}))
+        print(
+            json.dumps(
+                {
+                    "rows": [dict(zip(names, row, strict=True)) for row in rows],
+                    "broken": result.broken,
+                    "figures": result.figures,
+                    "seconds": round(result.seconds, 3),
+                }
+            )
+        )
     else:
         table = Table(title="One box drained at a third, one app killed at half")
         for name in names:
             table.add_column(name, justify="left" if name == "kind" else "right")
         for row in rows:
-            table.add_row(row[0], *(f"{value:.1f}" if isinstance(value,
-                                                                 float) else str(value) for value in row[1:]))
+            table.add_row(
+                row[0], *(f"{value:.1f}" if isinstance(value, float) else str(value) for value in row[1:])
+            )
         console.print(table)
         shown = ", ".join(f"{name.removeprefix('app.')} {value}" for name, value in result.figures.items())
         console.print(f"the operators' door said: {shown}", highlight=False)
--- a/pulleyroute/cli/emulate.py
+++ b/pulleyroute/cli/emulate.py
@@ -42,11 +42,13 @@
 
 @app.command(epilog="Example:\n\n`pulleyroute emulate store 127.0.0.1:2379 --log /tmp/store.log`")
 def store(
-    address: Annotated[str, typer.Argument(
-        help="A loopback address, HOST:PORT; port 0 for any.")] = "127.0.0.1:0",
+    address: Annotated[
+        str, typer.Argument(help="A loopback address, HOST:PORT; port 0 for any.")
+    ] = "127.0.0.1:0",
     log: Annotated[Path | None, typer.Option(help="Keep changes in this file, and start from it.")] = None,
-    leases: Annotated[Literal["extend", "end"],
-                      typer.Option(help="What becomes of the log's leases at a start.")] = "extend",
+    leases: Annotated[
+        Literal["extend", "end"], typer.Option(help="What becomes of the log's leases at a start.")
+    ] = "extend",
 ) -> None:
     """The fleet's common store: etcd's v3 JSON gateway. The first line printed is its address."""
     from pulleyroute.emulator.store import Server
--- a/pulleyroute/cli/fleet.py
+++ b/pulleyroute/cli/fleet.py
@@ -54,6 +54,7 @@
             told.append((yield from what(operator)))
         finally:
             loop.stop()
+
     loop.spawn(whole(), "command")
     loop.run()
     if told:
@@ -98,8 +99,11 @@
 @app.command()
 def members(config: Config, as_json: AsJson = False) -> None:
     """Who is in the fleet, who counts as out, and what is wanted of them."""
-    table(ask(config, lambda operator: operator.members()),
-           ["name", "zone", "region", "version", "standing", "out", "permit", "wish", "why"], as_json)
+    table(
+        ask(config, lambda operator: operator.members()),
+        ["name", "zone", "region", "version", "standing", "out", "permit", "wish", "why"],
+        as_json,
+    )
 
 
 @app.command()
@@ -123,8 +127,12 @@
 
 
 @app.command()
-def restart(name: Name, config: Config, why: Why = "",
-            version: Annotated[str, typer.Option(help="That is to come; the same without it.")] = "") -> None:
+def restart(
+    name: Name,
+    config: Config,
+    why: Why = "",
+    version: Annotated[str, typer.Option(help="That is to come; the same without it.")] = "",
+) -> None:
     """Want a member started again. It ends once the limits allow it; the platform starts it."""
     ask(config, lambda operator: operator.drain(name, "restart", why, version))
     print(f"{name} is started again once it has a permit: see `pulleyroute fleet members`")
@@ -148,6 +156,13 @@
 @app.command()
 def history(config: Config, as_json: AsJson = False) -> None:
     """What was done, the oldest first, with author and reason. Times are UTC."""
-    rows = [{"at": time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(event.at / 1000)), "by": event.by,
-             "what": event.what, "why": event.why} for event in ask(config, lambda each: each.history())]
+    rows = [
+        {
+            "at": time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(event.at / 1000)),
+            "by": event.by,
+            "what": event.what,
+            "why": event.why,
+        }
+        for event in ask(config, lambda each: each.history())
+    ]
     table(rows, ["at", "by", "what", "why"], as_json)
--- a/pulleyroute/cli/load.py
+++ b/pulleyroute/cli/load.py
@@ -12,21 +12,30 @@
 from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
 from rich.table import Table
 
-HELP = ("Load a dispatcher on this machine with jobs or gRPC calls, by a schedule (open loop) or with so "
-        "many clients (closed loop), and show what became of it. In an open loop times count from when a "
-        "request was due.")
-EXAMPLES = ("Examples:\n\n`pulleyroute load jobs 127.0.0.1:8080 --mix balance-check=4,card-charge=1 "
-            "--shape 20/10s,20-200/30s,burst:300`\n\n"
-            "`pulleyroute load grpc 127.0.0.1:8443 --mix shop.Look/Unary --clients 32 --seconds 10 --json`")
+HELP = (
+    "Load a dispatcher on this machine with jobs or gRPC calls, by a schedule (open loop) or with so "
+    "many clients (closed loop), and show what became of it. In an open loop times count from when a "
+    "request was due."
+)
+EXAMPLES = (
+    "Examples:\n\n`pulleyroute load jobs 127.0.0.1:8080 --mix balance-check=4,card-charge=1 "
+    "--shape 20/10s,20-200/30s,burst:300`\n\n"
+    "`pulleyroute load grpc 127.0.0.1:8443 --mix shop.Look/Unary --clients 32 --seconds 10 --json`"
+)
 
 
 def run(
     what: Annotated[Literal["jobs", "grpc"], typer.Argument(help="What to send.")],
     address: Annotated[str, typer.Argument(help="A loopback address, HOST:PORT.")],
-    mix: Annotated[str,
-                   typer.Option(help="Kinds with shares: NAME=SHARE,... A kind of grpc: service/method.")],
-    shape: Annotated[str, typer.Option(help="RATE/SPANs, FROM-TO/SPANs, RATE~SWING@PERIODs/SPANs, burst:N; "
-                                            "joined by commas.")] = "20/10s",
+    mix: Annotated[
+        str, typer.Option(help="Kinds with shares: NAME=SHARE,... A kind of grpc: service/method.")
+    ],
+    shape: Annotated[
+        str,
+        typer.Option(
+            help="RATE/SPANs, FROM-TO/SPANs, RATE~SWING@PERIODs/SPANs, burst:N; " "joined by commas."
+        ),
+    ] = "20/10s",
     even: Annotated[bool, typer.Option(help="Evenly apart, not Poisson.")] = False,
     clients: Annotated[int, typer.Option(min=0, max=2000, help="A closed loop with so many.")] = 0,
     seconds: Annotated[float, typer.Option(min=0.1, max=3600, help="Of a closed loop.")] = 10.0,
@@ -58,14 +67,27 @@
             await target.close()
 
     console = Console(stderr=as_json)
-    with Progress(TextColumn("loading"), BarColumn(), TextColumn("{task.fields[done]} ended"),
-                  TimeElapsedColumn(),
-                  console=console) as progress:
+    with Progress(
+        TextColumn("loading"),
+        BarColumn(),
+        TextColumn("{task.fields[done]} ended"),
+        TimeElapsedColumn(),
+        console=console,
+    ) as progress:
         bar = progress.add_task("", total=1.0, done=0)
         report = asyncio.run(play(lambda share, done: progress.update(bar, completed=share, done=done)))
     if as_json:
-        print(json.dumps({"due": report.due, "unsent": report.unsent, "seconds": round(report.seconds, 3),
-                          "late": round(report.late, 6), "kinds": report.rows()}))
+        print(
+            json.dumps(
+                {
+                    "due": report.due,
+                    "unsent": report.unsent,
+                    "seconds": round(report.seconds, 3),
+                    "late": round(report.late, 6),
+                    "kinds": report.rows(),
+                }
+            )
+        )
         return
     table = Table(title=f"{report.due} due in {report.seconds:.1f} s; times of served requests in ms")
     names = ("kind", "sent", "served", "refused", "failed", "lost", "p50", "p90", "p99", "p99.9")
@@ -75,5 +97,8 @@
         table.add_row(*(str(row[name]) for name in names))
     console.print(table)
     if report.unsent or report.late > 0.1:
-        console.print(f"the generator itself fell behind: {report.unsent} not sent, "
-                      f"{report.late:.2f} s late at worst", style="yellow")
+        console.print(
+            f"the generator itself fell behind: {report.unsent} not sent, "
+            f"{report.late:.2f} s late at worst",
+            style="yellow",
+        )
--- a/pulleyroute/cli/release.py
+++ b/pulleyroute/cli/release.py
@@ -37,8 +37,10 @@
         print(f"wave {number}: {', '.join(told.members[begin:count])}")
         begin = count
     was = ", ".join(sorted(set(told.previous)))
-    print(f"to {told.version} from {was}; soak {told.soak / 1e6:g} s, patience {told.patience / 1e6:g} s "
-          f"a wave, {told.at_once} at once, on failure {told.on_failure}")
+    print(
+        f"to {told.version} from {was}; soak {told.soak / 1e6:g} s, patience {told.patience / 1e6:g} s "
+        f"a wave, {told.at_once} at once, on failure {told.on_failure}"
+    )
 
 
 @app.command()
@@ -51,12 +53,16 @@
     def what(operator: Operator) -> Coroutine[Any]:
         known, _ = yield from operator.look()
         return release.begin(meant, known)
+
     _waves(ask(config, what))
 
 
 @app.command()
-def start(plan: File, config: Config,
-          dry_run: Annotated[bool, typer.Option("--dry-run", help="As `check`.")] = False) -> None:
+def start(
+    plan: File,
+    config: Config,
+    dry_run: Annotated[bool, typer.Option("--dry-run", help="As `check`.")] = False,
+) -> None:
     """Start a release; the members carry it out by themselves."""
     if dry_run:
         check(plan, config)
@@ -66,9 +72,11 @@
 
 
 @app.command()
-def status(config: Config, as_json: AsJson = False,
-           watch: Annotated[bool, typer.Option("--watch", help="Again each second, until it ends.")] = False
-           ) -> None:
+def status(
+    config: Config,
+    as_json: AsJson = False,
+    watch: Annotated[bool, typer.Option("--watch", help="Again each second, until it ends.")] = False,
+) -> None:
     """The release in hand, or the last one, and who stands where."""
     while True:
         known, _ = ask(config, lambda operator: operator.look())
@@ -77,17 +85,36 @@
             print("null" if as_json else "no release yet")
             return
         versions = {name: word.version for name, word in known.words.items()}
-        rows = [{"member": name, "wave": 1 + sum(1 for count in told.counts if count <= number),
-                 "version": versions.get(name, ""), "wanted": known.wishes[name].version
-                 if name in known.wishes else "", "permit": name in known.permits}
-                for number, name in enumerate(told.members)]
+        rows = [
+            {
+                "member": name,
+                "wave": 1 + sum(1 for count in told.counts if count <= number),
+                "version": versions.get(name, ""),
+                "wanted": known.wishes[name].version if name in known.wishes else "",
+                "permit": name in known.permits,
+            }
+            for number, name in enumerate(told.members)
+        ]
         if as_json:
-            print(json.dumps({
-                "name": told.name, "version": told.version, "state": told.state, "why": told.why,
-                "wave": told.wave + 1, "waves": len(told.counts), "members": rows}), flush=True)
+            print(
+                json.dumps(
+                    {
+                        "name": told.name,
+                        "version": told.version,
+                        "state": told.state,
+                        "why": told.why,
+                        "wave": told.wave + 1,
+                        "waves": len(told.counts),
+                        "members": rows,
+                    }
+                ),
+                flush=True,
+            )
         else:
-            print(f"release {told.name} to {told.version}: {told.state}, wave {told.wave + 1} of "
-                  f"{len(told.counts)}{': ' + told.why if told.why else ''}")
+            print(
+                f"release {told.name} to {told.version}: {told.state}, wave {told.wave + 1} of "
+                f"{len(told.counts)}{': ' + told.why if told.why else ''}"
+            )
             table(rows, ["member", "wave", "version", "wanted", "permit"], False)
         if not watch or told.state not in ("running", "backing"):
             return
--- a/pulleyroute/cli/serve.py
+++ b/pulleyroute/cli/serve.py
@@ -17,17 +17,22 @@
 from pulleyroute.net.process import catch_signals, heeding, on_error
 from pulleyroute.service import CannotServe, Service
 
-HELP = ("Serve what a configuration says, in the foreground, until SIGTERM. SIGHUP reads it again: "
-        "listeners, routes, pools and certificates follow; connections and calls stay.")
-EXAMPLES = ("Examples:\n\n`pulleyroute serve --config site.hcl`\n\n"
-            "`pulleyroute serve --config site.hcl --log-format json --log-level debug`")
+HELP = (
+    "Serve what a configuration says, in the foreground, until SIGTERM. SIGHUP reads it again: "
+    "listeners, routes, pools and certificates follow; connections and calls stay."
+)
+EXAMPLES = (
+    "Examples:\n\n`pulleyroute serve --config site.hcl`\n\n"
+    "`pulleyroute serve --config site.hcl --log-format json --log-level debug`"
+)
 
 
 def run(
     config: Annotated[Path, typer.Option("--config", "-c", help="The configuration, in HCL.")],
     log_format: Annotated[Literal["text", "json"] | None, typer.Option(help="Goes before the file.")] = None,
-    log_level: Annotated[str | None,
-                         typer.Option(help="debug, info, warning or error; before the file.")] = None,
+    log_level: Annotated[
+        str | None, typer.Option(help="debug, info, warning or error; before the file.")
+    ] = None,
 ) -> None:
     try:
         made = load(config)
@@ -36,8 +41,10 @@
         raise typer.Exit(2) from None
     level = log_level or (made.log.level if made.log is not None else "info")
     if level not in ("debug", "info", "warning", "error"):
-        print(f"pulleyroute: --log-level: expected debug, info, warning or error, found {level!r}",
-              file=sys.stderr)
+        print(
+            f"pulleyroute: --log-level: expected debug, info, warning or error, found {level!r}",
+            file=sys.stderr,
+        )
         raise typer.Exit(2)
     shape = log_format or (made.log.format if made.log is not None else "text")
     log.set_up(level, structured=shape == "json")
@@ -50,8 +57,9 @@
         raise typer.Exit(2) from None
     loop.spawn(heeding(source, lambda: reload(service, config), service.stop), "signals")
     gc.freeze()
-    gc.set_threshold(5_000, 5,
-                     5)  # an ended call is a cycle of some objects: guards against many waiting long
+    gc.set_threshold(
+        5_000, 5, 5
+    )  # an ended call is a cycle of some objects: guards against many waiting long
     _told(service, made)
     if made.fleet is not None:
         from pulleyroute.service.joining import join
@@ -66,10 +74,12 @@
 def _told(service: Service, config: Config) -> None:
     for name, front in service.fronts.items():
         logger.bind(event="listening", listener=name, protocol="grpc").info(
-            "listener {}: grpc on {}:{}", name, *front.address)
+            "listener {}: grpc on {}:{}", name, *front.address
+        )
     for name, clients in service.clients.items():
         logger.bind(event="listening", listener=name, protocol="jobs").info(
-            "listener {}: jobs on {}:{}", name, *clients.address)
+            "listener {}: jobs on {}:{}", name, *clients.address
+        )
     logger.bind(event="started").info("pulleyroute {} as {}", __version__, config.name)
 
 
@@ -88,5 +98,8 @@
         logger.bind(event="config.restart", key=key).warning("a change of {} needs a restart", key)
     logger.bind(event="config.reloaded").info(
         "configuration read again: pools new {}, gone {}; listeners new {}, gone {}",
-        *(", ".join(names) or "none" for names in (
-            made.new_pools, made.gone_pools, made.new_listeners, made.gone_listeners)))
+        *(
+            ", ".join(names) or "none"
+            for names in (made.new_pools, made.gone_pools, made.new_listeners, made.gone_listeners)
+        ),
+    )
--- a/pulleyroute/config/__init__.py
+++ b/pulleyroute/config/__init__.py
@@ -10,6 +10,15 @@
 from pulleyroute.config.types import Config, Fleet, Instance, JobClass, Listener, Pool, Route
 
 __all__ = [
-    "Config", "Fleet", "Instance", "Invalid", "JobClass", "Listener", "Pool", "Problem", "Route", "load",
+    "Config",
+    "Fleet",
+    "Instance",
+    "Invalid",
+    "JobClass",
+    "Listener",
+    "Pool",
+    "Problem",
+    "Route",
+    "load",
     "pool_settings",
 ]
--- a/pulleyroute/config/load.py
+++ b/pulleyroute/config/load.py
@@ -36,8 +36,9 @@
     try:
         text = Path(path).read_text()
     except OSError as exc:
-        raise Invalid([Problem(file, 1, "file", "a readable file",
-                               (exc.strerror or "error").lower())]) from None
+        raise Invalid(
+            [Problem(file, 1, "file", "a readable file", (exc.strerror or "error").lower())]
+        ) from None
     except UnicodeDecodeError:
         raise Invalid([Problem(file, 1, "file", "UTF-8 text", "something else")]) from None
     reading = _Reading(file)
@@ -72,8 +73,9 @@
             if attribute.key not in shown:
                 self._unknown(attribute.key, attribute.line, path, shown)
             elif _holds_blocks(hints[name]) and not _plain_map(hints[name]):
-                self.tell(attribute.line, path + attribute.key, f"a block: {attribute.key} {{ ... }}",
-                          "a value")
+                self.tell(
+                    attribute.line, path + attribute.key, f"a block: {attribute.key} {{ ... }}", "a value"
+                )
             else:
                 lines[name] = attribute.line
                 self._value(attribute, hints[name], path, values, name)
@@ -136,8 +138,12 @@
             for block in blocks:
                 where = path + block.kind
                 if len(block.labels) != 1:
-                    self.tell(block.line, where, f'one name: {block.kind} "name" {{ ... }}',
-                              f"{len(block.labels)} names")
+                    self.tell(
+                        block.line,
+                        where,
+                        f'one name: {block.kind} "name" {{ ... }}',
+                        f"{len(block.labels)} names",
+                    )
                     continue
                 label = block.labels[0]
                 if label in many:
@@ -163,42 +169,56 @@
         for name, listener in config.listener.items():
             path = f"listener.{name}"
             if listener.address in taken and listener.address[1]:
-                self.tell(self.line(listener, "address"), f"{path}.address", "an address of its own",
-                          f"that of listener {taken[listener.address]!r}")
+                self.tell(
+                    self.line(listener, "address"),
+                    f"{path}.address",
+                    "an address of its own",
+                    f"that of listener {taken[listener.address]!r}",
+                )
             taken[listener.address] = name
             if listener.protocol == "jobs":
                 pool = config.pool.get(listener.pool)
                 if pool is None or pool.protocol != "jobs":
                     names = [each for each, kept in config.pool.items() if kept.protocol == "jobs"]
-                    self._no_name(self.line(listener, "pool"), f"{path}.pool", "a pool of jobs",
-                                  listener.pool, names)
+                    self._no_name(
+                        self.line(listener, "pool"), f"{path}.pool", "a pool of jobs", listener.pool, names
+                    )
                 if listener.tls is not None:
-                    self.tell(self.line(listener, "tls"), f"{path}.tls", "protocol grpc with it",
-                              "protocol jobs")
+                    self.tell(
+                        self.line(listener, "tls"), f"{path}.tls", "protocol grpc with it", "protocol jobs"
+                    )
             elif listener.pool:
-                self.tell(self.line(listener, "pool"), f"{path}.pool", "routes to say where calls go",
-                          "a pool")
+                self.tell(
+                    self.line(listener, "pool"), f"{path}.pool", "routes to say where calls go", "a pool"
+                )
         for name, pool in config.pool.items():
             path = f"pool.{name}"
             if pool.discovery is None and not pool.instance:
                 self.tell(self.line(pool, ""), path, "discovery or an instance", "neither")
             if pool.discovery is not None and pool.instance:
-                self.tell(self.line(pool, "instance"), f"{path}.instance", "either discovery or instances",
-                          "both")
+                self.tell(
+                    self.line(pool, "instance"), f"{path}.instance", "either discovery or instances", "both"
+                )
             if pool.number >= pool.dispatchers:
-                self.tell(self.line(pool, "number"), f"{path}.number", "less than dispatchers",
-                          str(pool.number))
+                self.tell(
+                    self.line(pool, "number"), f"{path}.number", "less than dispatchers", str(pool.number)
+                )
         for name, each in config.job_class.items():
             if each.give_up < each.aim:
-                self.tell(self.line(each, "give_up"), f"class.{name}.give_up", "at least aim",
-                          f"{each.give_up} us")
+                self.tell(
+                    self.line(each, "give_up"), f"class.{name}.give_up", "at least aim", f"{each.give_up} us"
+                )
             if each.effect != "keyed" and each.repeat_window:
-                self.tell(self.line(each, "repeat_window"), f"class.{name}.repeat_window",
-                          "effect keyed with it",
-                          f"effect {each.effect}")
+                self.tell(
+                    self.line(each, "repeat_window"),
+                    f"class.{name}.repeat_window",
+                    "effect keyed with it",
+                    f"effect {each.effect}",
+                )
         if config.fleet is not None and config.fleet.lease % 1_000_000:
-            self.tell(self.line(config.fleet, "lease"), "fleet.lease", "whole seconds",
-                      f"{config.fleet.lease} us")
+            self.tell(
+                self.line(config.fleet, "lease"), "fleet.lease", "whole seconds", f"{config.fleet.lease} us"
+            )
         self._routes(config)
 
     def _routes(self, config: Config) -> None:
@@ -210,8 +230,13 @@
                 names = [each for each, kept in config.pool.items() if kept.protocol == "grpc"]
                 self._no_name(self.line(route, "pool"), f"{path}.pool", "a pool of grpc", route.pool, names)
             if route.job_class not in config.job_class:
-                self._no_name(self.line(route, "job_class"), f"{path}.class", "a class", route.job_class,
-                              list(config.job_class))
+                self._no_name(
+                    self.line(route, "job_class"),
+                    f"{path}.class",
+                    "a class",
+                    route.job_class,
+                    list(config.job_class),
+                )
             match = Match(route.service, route.method, route.prefix)
             problem = match.problem()
             if problem is None:
@@ -221,8 +246,9 @@
                 except ValueError as exc:
                     problem = f"found {exc}"
             if problem is not None:
-                self.tell(self.line(route, ""), path, "service, service and method, or prefix, each once",
-                          problem)
+                self.tell(
+                    self.line(route, ""), path, "service, service and method, or prefix, each once", problem
+                )
         if not config.route and any(each.protocol == "grpc" for each in config.listener.values()):
             self.tell(1, "route", "at least one for the listeners of grpc", "none")
 
--- a/pulleyroute/config/plan.py
+++ b/pulleyroute/config/plan.py
@@ -17,8 +17,7 @@
 
     name: str = ""
     version: Name
-    waves: Annotated[list[Part],
-                     ListOf(PartOf(), 'a list of numbers and shares such as [1, "25%", "100%"]')]
+    waves: Annotated[list[Part], ListOf(PartOf(), 'a list of numbers and shares such as [1, "25%", "100%"]')]
     zones: tuple[str, ...] = ()
     of_version: str = ""
     at_once: Count = 1
@@ -36,6 +35,15 @@
     file = read(path, PlanFile)
     if len(file.release) != 1:
         raise Invalid([Problem(str(path), 1, "release", "one block of it", f"{len(file.release)}")])
-    (name, block), = file.release.items()
-    return Plan(name, block.version, tuple(block.waves), block.zones, block.of_version, block.at_once,
-                block.soak, block.patience, block.on_failure)
+    ((name, block),) = file.release.items()
+    return Plan(
+        name,
+        block.version,
+        tuple(block.waves),
+        block.zones,
+        block.of_version,
+        block.at_once,
+        block.soak,
+        block.patience,
+        block.on_failure,
+    )
--- a/pulleyroute/config/tree.py
+++ b/pulleyroute/config/tree.py
@@ -45,8 +45,9 @@
     try:
         tree = hcl2.parses_to_tree(text if text.endswith("\n") else text + "\n")
     except UnexpectedEOF:
-        raise Invalid([Problem(file, text.count("\n") + 1, "syntax",
-                               "more: the file ends too early")]) from None
+        raise Invalid(
+            [Problem(file, text.count("\n") + 1, "syntax", "more: the file ends too early")]
+        ) from None
     except UnexpectedInput as exc:
         line = exc.line if isinstance(exc.line, int) and exc.line > 0 else 1
         found = "a character that cannot stand here"
@@ -54,8 +55,9 @@
             token = getattr(exc, "token", None)
             ends = token is None or token.type == "$END"
             found = "the end of the file" if ends else repr(str(token).strip() or "the end of the line")
-        raise Invalid([Problem(file, line, "syntax", "HCL: `key = value` or `kind \"name\" { ... }`", found)]
-                      ) from None
+        raise Invalid(
+            [Problem(file, line, "syntax", 'HCL: `key = value` or `kind "name" { ... }`', found)]
+        ) from None
     problems: list[Problem] = []
     root = Block("", [], 1)
     _fill(root, tree.children[0], file, "", problems)
--- a/pulleyroute/config/types.py
+++ b/pulleyroute/config/types.py
@@ -32,8 +32,9 @@
         self.least = least
 
     def read(self, value: Any) -> int:
-        match = re.fullmatch(r"(\d{1,12}(?:\.\d{1,6})?)(us|ms|s|m|h)", value) if isinstance(value,
-                                                                                            str) else None
+        match = (
+            re.fullmatch(r"(\d{1,12}(?:\.\d{1,6})?)(us|ms|s|m|h)", value) if isinstance(value, str) else None
+        )
         if match is None:
             raise ValueError
         span = round(float(match[1]) * self._UNITS[match[2]])
@@ -225,8 +226,7 @@
     """What the processes of a fleet agree on, and where. See docs/operate/fleet.md."""
 
     # Endpoints of the common store, one in use.
-    store: Annotated[list[tuple[str, int]],
-                     ListOf(At(), 'a list of addresses such as ["127.0.0.1:2379"]')]
+    store: Annotated[list[tuple[str, int]], ListOf(At(), 'a list of addresses such as ["127.0.0.1:2379"]')]
     group: Name = "main"  # those that agree with each other
     member: str = ""  # this process's name in it; empty for the file's `name`
     zone: str = ""
--- a/pulleyroute/emulator/book.py
+++ b/pulleyroute/emulator/book.py
@@ -24,8 +24,9 @@
     runs: list[Run] = field(default_factory=list)
     drained: dict[str, float] = field(default_factory=dict)  # box: when discovery told of its drain
     asked: dict[str, tuple[str, float]] = field(default_factory=dict)  # request: its kind, and when
-    answers: list[tuple[str, str,
-                        float]] = field(default_factory=list)  # request, ending, when its client had it
+    answers: list[tuple[str, str, float]] = field(
+        default_factory=list
+    )  # request, ending, when its client had it
     heard: set[str] = field(default_factory=set)  # requests whose end a dispatcher has said to have heard
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
--- a/pulleyroute/emulator/calls.py
+++ b/pulleyroute/emulator/calls.py
@@ -27,15 +27,20 @@
 from pulleyroute.emulator.book import Book
 
 CODES = {code.value[0]: code for code in grpc.StatusCode}
-OPTIONS = [("grpc.max_receive_message_length", -1), ("grpc.max_send_message_length", -1),
-           ("grpc.so_reuseport", 0), ("grpc.http2.max_ping_strikes", 0)]
+OPTIONS = [
+    ("grpc.max_receive_message_length", -1),
+    ("grpc.max_send_message_length", -1),
+    ("grpc.so_reuseport", 0),
+    ("grpc.http2.max_ping_strikes", 0),
+]
 
 
 class CallBox(grpc.GenericRpcHandler):  # type: ignore[misc]
     """One box. Methods end in Unary, Gather (client streams), Spread (server streams) or Echo (both)."""
 
-    def __init__(self, name: str, book: Book, threads: int = 32, credentials: Any = None,
-                 mean_ms: float = 0.0) -> None:
+    def __init__(
+        self, name: str, book: Book, threads: int = 32, credentials: Any = None, mean_ms: float = 0.0
+    ) -> None:
         self.name, self._book, self._mean = name, book, mean_ms / 1000
         self._server = grpc.server(futures.ThreadPoolExecutor(threads), options=OPTIONS)
         self._server.add_generic_rpc_handlers((self,))
@@ -50,16 +55,20 @@
         path = details.method
         if path.endswith("Unary"):
             return grpc.unary_unary_rpc_method_handler(
-                lambda request, context: self._one(path, iter([request]), context))
+                lambda request, context: self._one(path, iter([request]), context)
+            )
         if path.endswith("Gather"):
             return grpc.stream_unary_rpc_method_handler(
-                lambda requests, context: self._one(path, requests, context))
+                lambda requests, context: self._one(path, requests, context)
+            )
         if path.endswith("Spread"):
             return grpc.unary_stream_rpc_method_handler(
-                lambda request, context: self._many(path, iter([request]), context, False))
+                lambda request, context: self._many(path, iter([request]), context, False)
+            )
         if path.endswith("Echo"):
             return grpc.stream_stream_rpc_method_handler(
-                lambda requests, context: self._many(path, requests, context, True))
+                lambda requests, context: self._many(path, requests, context, True)
+            )
         return None
 
     def _begin(self, path: str, context: Any) -> dict[str, Any]:
@@ -69,10 +78,12 @@
             self._book.began(asked["x-id"], path.split("/")[1], self.name)
         seen = [(key, value) for key, value in pairs if key.startswith("x-")]
         context.set_trailing_metadata(
-            [(f"seen-{key}", value) for key, value in seen if not key.startswith("x-id")][:20])
+            [(f"seen-{key}", value) for key, value in seen if not key.startswith("x-id")][:20]
+        )
         if asked.get("x-initial") == "1":
-            context.send_initial_metadata((("x-first", "1"), ("x-first", "2"), ("x-raw-bin",
-                                                                                b"\x00\xff\x01")))
+            context.send_initial_metadata(
+                (("x-first", "1"), ("x-first", "2"), ("x-raw-bin", b"\x00\xff\x01"))
+            )
         wait = float(asked.get("x-wait-ms", 0)) / 1000 or self._mean
         end = time.monotonic() + wait
         while time.monotonic() < end and context.is_active():
--- a/pulleyroute/emulator/faulty.py
+++ b/pulleyroute/emulator/faulty.py
@@ -106,8 +106,16 @@
                     break
                 sock.setblocking(False)
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                connection = Http2(self.loop, self._buffers, sock, True, Limits(streams=10_000, idle=0), None,
-                                   self._opened, lambda which, why: self.connections.discard(which))
+                connection = Http2(
+                    self.loop,
+                    self._buffers,
+                    sock,
+                    True,
+                    Limits(streams=10_000, idle=0),
+                    None,
+                    self._opened,
+                    lambda which, why: self.connections.discard(which),
+                )
                 self.connections.add(connection)
                 connection.start()
 
@@ -117,8 +125,14 @@
         attempts = int(seen.get(b"grpc-previous-rpc-attempts", b"0"))
         text = seen.get(b"grpc-timeout", b"0u")
         scale = {b"u": 1, b"m": 1000, b"S": 10**6, b"M": 60 * 10**6, b"H": 3600 * 10**6}
-        taken = Taken(request, self.name, self.script(request, attempts), self.loop.now(), attempts,
-                      int(text[:-1]) * scale[text[-1:]])
+        taken = Taken(
+            request,
+            self.name,
+            self.script(request, attempts),
+            self.loop.now(),
+            attempts,
+            int(text[:-1]) * scale[text[-1:]],
+        )
         self.taken.append(taken)
         return _Attempt(self, stream, taken, ended)
 
@@ -196,8 +210,9 @@
     def _goaway(self) -> None:
         """This stream and what came after it were never looked at; what came before goes on."""
         connection, last = self._stream.connection, max(0, self._stream.id - 2)
-        for taken, stream in [(each._taken, each._stream) for each in _attempts(connection) if
-                              each._stream.id > last]:
+        for taken, stream in [
+            (each._taken, each._stream) for each in _attempts(connection) if each._stream.id > last
+        ]:
             taken.told = taken.dropped = True
             connection.forget(stream)
         with contextlib.suppress(OSError):
@@ -231,6 +246,7 @@
     if kind < 0.95:
         return Act("silent", 0, rng.randrange(0, 3), wait)
     if kind < 0.98:
-        return Act("only", 14, 0, wait, pushback=rng.choice((b"0", b"50", b"400", b"-1", b"junk",
-                                                             b"99999999")))
+        return Act(
+            "only", 14, 0, wait, pushback=rng.choice((b"0", b"50", b"400", b"-1", b"junk", b"99999999"))
+        )
     return Act("status", 0, 2, rng.randrange(500_000, 3_000_000))
--- a/pulleyroute/emulator/jobs.py
+++ b/pulleyroute/emulator/jobs.py
@@ -60,14 +60,22 @@
         with self._changed:
             self._revision += 1
             self._members[name] = {
-                "id": name, "host_port": address, "locality": "a", "flavor": "kit", "cell": 0, "phase": phase,
-                "size": 1.0, "up_since_ms": 0}
+                "id": name,
+                "host_port": address,
+                "locality": "a",
+                "flavor": "kit",
+                "cell": 0,
+                "phase": phase,
+                "size": 1.0,
+                "up_since_ms": 0,
+            }
             self._changed.notify_all()
 
     def whole(self) -> bytes:
         with self._changed:
-            return json.dumps({"revision": self._revision, "complete": True,
-                               "members": list(self._members.values())}).encode()
+            return json.dumps(
+                {"revision": self._revision, "complete": True, "members": list(self._members.values())}
+            ).encode()
 
     def watch(self, handler: _Handler) -> None:
         handler.send_response(200)
@@ -87,8 +95,12 @@
             return
 
     def whole_line(self) -> bytes:
-        return json.dumps({"revision": self._revision, "complete": True,
-                           "members": list(self._members.values())}).encode() + b"\n"
+        return (
+            json.dumps(
+                {"revision": self._revision, "complete": True, "members": list(self._members.values())}
+            ).encode()
+            + b"\n"
+        )
 
     def close(self) -> None:
         self._server.shutdown()
@@ -98,8 +110,16 @@
 class JobBox:
     """Takes jobs, runs `slots` of them at once for some time, calls back at the dispatcher's address."""
 
-    def __init__(self, name: str, book: Book, callback: str, slots: int = 4, mean_ms: float = 20.0,
-                 seed: int = 0, hasty: float = 0.0) -> None:
+    def __init__(
+        self,
+        name: str,
+        book: Book,
+        callback: str,
+        slots: int = 4,
+        mean_ms: float = 20.0,
+        seed: int = 0,
+        hasty: float = 0.0,
+    ) -> None:
         """`hasty`: the share of jobs whose end is told before the 202."""
         self.name, self.callback = name, callback
         self._book, self._slots, self._mean = book, slots, mean_ms / 1000
@@ -141,8 +161,11 @@
 
     def load(self) -> dict[str, float]:
         with self._lock:
-            return {"x0": max(0, self._slots - self._held), "rif": self._held,
-                    "q": max(0, self._held - self._slots)}
+            return {
+                "x0": max(0, self._slots - self._held),
+                "rif": self._held,
+                "q": max(0, self._held - self._slots),
+            }
 
     def take(self, request: str, kind: str) -> bool:
         with self._lock:
--- a/pulleyroute/emulator/link.py
+++ b/pulleyroute/emulator/link.py
@@ -119,7 +119,7 @@
                 rest = memoryview(data)
                 while rest:
                     try:
-                        rest = rest[sink.send(rest):]
+                        rest = rest[sink.send(rest) :]
                     except (BlockingIOError, InterruptedError):
                         yield Wait(sink.fileno(), WRITABLE)
         except OSError:
--- a/pulleyroute/emulator/runner.py
+++ b/pulleyroute/emulator/runner.py
@@ -39,16 +39,25 @@
 class Runner:
     """Owns the slots, the queue, the doors and the book."""
 
-    def __init__(self, loop: Loop, name: str, callbacks: list[tuple[str, int]], slots: int = 4,
-                 mean: int = 30_000, seed: int = 0, book: Path | None = None) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        name: str,
+        callbacks: list[tuple[str, int]],
+        slots: int = 4,
+        mean: int = 30_000,
+        seed: int = 0,
+        book: Path | None = None,
+    ) -> None:
         """`mean`: us that a job runs, exponentially drawn and at most ten times as long."""
         self._loop, self._pool, self.name = loop, BufferPool(), name
         self._slots, self._mean, self._random = slots, mean, random.Random(seed)
         self._jobs: dict[str, Taken] = {}
         self._queue: deque[Taken] = deque()
         self._running = 0
-        self._book = (os.open(book, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
-                      if book is not None else None)
+        self._book = (
+            os.open(book, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600) if book is not None else None
+        )
         self.doors: list[tuple[str, int]] = []
         for callback in callbacks:
             sock = socket.create_server(("127.0.0.1", 0), backlog=256)
@@ -58,9 +67,19 @@
 
     def _note(self, what: str, job: Taken) -> None:
         if self._book is not None:
-            os.write(self._book, json.dumps({
-                "at": self._loop.now(), "what": what, "txn": job.txn, "kind": job.kind, "box": self.name,
-            }).encode() + b"\n")
+            os.write(
+                self._book,
+                json.dumps(
+                    {
+                        "at": self._loop.now(),
+                        "what": what,
+                        "txn": job.txn,
+                        "kind": job.kind,
+                        "box": self.name,
+                    }
+                ).encode()
+                + b"\n",
+            )
 
     def _accepting(self, sock: socket.socket, callback: tuple[str, int]) -> Coroutine[None]:
         while True:
@@ -77,7 +96,8 @@
         try:
             while (message := (yield from stream.request(None))) is not None:
                 status, body, headers = self._answer(
-                    message.method, message.target.decode(), message.one(b"x-txn") or b"", callback)
+                    message.method, message.target.decode(), message.one(b"x-txn") or b"", callback
+                )
                 if not (yield from stream.answer(status, body, headers, False, None)):
                     return
         except (Broken, Late, Malformed):
@@ -85,12 +105,18 @@
         finally:
             stream.close()
 
-    def _answer(self, method: bytes, path: str, txn: bytes, callback: tuple[str, int]
-                ) -> tuple[int, bytes, list[tuple[bytes, bytes]]]:
+    def _answer(
+        self, method: bytes, path: str, txn: bytes, callback: tuple[str, int]
+    ) -> tuple[int, bytes, list[tuple[bytes, bytes]]]:
         if method == b"GET":
             free = max(0, self._slots - self._running)
-            return 200, json.dumps({"x0": free, "rif": self._running + len(self._queue),
-                                    "q": len(self._queue)}).encode(), []
+            return (
+                200,
+                json.dumps(
+                    {"x0": free, "rif": self._running + len(self._queue), "q": len(self._queue)}
+                ).encode(),
+                [],
+            )
         if method == b"DELETE":
             job = self._jobs.get(path.rsplit("/", 1)[-1])
             if job is not None:
@@ -127,8 +153,9 @@
             yield from self._tell(job)
 
     def _tell(self, job: Taken) -> Coroutine[None]:
-        data = json.dumps({"id": job.txn, "from": self.name, "state": "done",
-                           "result": f"done by {self.name}"}).encode()
+        data = json.dumps(
+            {"id": job.txn, "from": self.name, "state": "done", "result": f"done by {self.name}"}
+        ).encode()
         for _ in range(CALLS):
             until = self._loop.now() + CALL_TIME
             with contextlib.suppress(Broken, Crowded, Late, Malformed):
--- a/pulleyroute/emulator/store.py
+++ b/pulleyroute/emulator/store.py
@@ -39,8 +39,13 @@
 class Server:
     """Owns the listener, the model and its log."""
 
-    def __init__(self, loop: Loop, address: tuple[str, int] = ("127.0.0.1", 0), log: Path | None = None,
-                 leases: Literal["extend", "end"] = "extend") -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        address: tuple[str, int] = ("127.0.0.1", 0),
+        log: Path | None = None,
+        leases: Literal["extend", "end"] = "extend",
+    ) -> None:
         """`leases`: what becomes of those in the log: their whole time anew, as in the original, or none."""
         self._loop, self._pool = loop, BufferPool()
         self.store, self.faults = Store(), Faults()
@@ -49,9 +54,13 @@
         self._tasks: list[Task] = []
         self._streams: set[Stream] = set()
         self._paths: dict[bytes, Callable[[Json], Json]] = {
-            b"/v3/kv/range": self._range, b"/v3/kv/put": self._put, b"/v3/kv/deleterange": self._deleterange,
-            b"/v3/kv/txn": self._txn, b"/v3/kv/compaction": self._compaction,
-            b"/v3/lease/grant": self._grant, b"/v3/lease/revoke": self._revoke,
+            b"/v3/kv/range": self._range,
+            b"/v3/kv/put": self._put,
+            b"/v3/kv/deleterange": self._deleterange,
+            b"/v3/kv/txn": self._txn,
+            b"/v3/kv/compaction": self._compaction,
+            b"/v3/lease/grant": self._grant,
+            b"/v3/lease/revoke": self._revoke,
             b"/v3/lease/keepalive": self._keepalive,
         }
         if log is not None:
@@ -82,7 +91,7 @@
 
     def _replay(self, path: Path) -> None:
         data = path.read_bytes() if path.exists() else b""
-        whole = data[:data.rfind(b"\n") + 1]
+        whole = data[: data.rfind(b"\n") + 1]
         for line in whole.splitlines():
             entry = json.loads(line)
             self._paths[entry["path"].encode()](entry["body"])
@@ -120,8 +129,11 @@
                 continue
             sock.setblocking(False)
             self._tasks = [task for task in self._tasks if not task.done]
-            self._tasks.append(self._loop.spawn(
-                self._serving(Stream(self._loop, self._pool, sock, server=True)), "store call"))
+            self._tasks.append(
+                self._loop.spawn(
+                    self._serving(Stream(self._loop, self._pool, sock, server=True)), "store call"
+                )
+            )
 
     def _serving(self, stream: Stream) -> Coroutine[None]:
         self._streams.add(stream)
@@ -202,8 +214,9 @@
             elif op["op"] == "delete":
                 told.append({"response_delete_range": {"deleted": str(len(answer))}})
             else:
-                told.append({"response_range": {"kvs": [_item(item) for item in answer],
-                                                "count": str(len(answer))}})
+                told.append(
+                    {"response_range": {"kvs": [_item(item) for item in answer], "count": str(len(answer))}}
+                )
         return {"succeeded": held, "responses": told}
 
     def _compaction(self, body: Json) -> Json:
@@ -237,16 +250,35 @@
         while True:
             if not self.faults.silent_watches:
                 if start <= self.store.compacted:
-                    yield from stream.send(_line({"header": self._header(), "canceled": True,
-                                                  "compact_revision": str(self.store.compacted)}), None)
+                    yield from stream.send(
+                        _line(
+                            {
+                                "header": self._header(),
+                                "canceled": True,
+                                "compact_revision": str(self.store.compacted),
+                            }
+                        ),
+                        None,
+                    )
                     return
                 # Not at every look: reading what has changed goes through all keys' history.
                 changed = self.store.events(key, end, start) if start <= self.store.revision else []
                 start = max(start, self.store.revision + 1)
                 if changed:
-                    yield from stream.send(_line({"header": self._header(), "events": [
-                        {"kv": _item(item)} if item.version else {"type": "DELETE", "kv": _item(item)}
-                        for item in changed]}), None)
+                    yield from stream.send(
+                        _line(
+                            {
+                                "header": self._header(),
+                                "events": [
+                                    {"kv": _item(item)}
+                                    if item.version
+                                    else {"type": "DELETE", "kv": _item(item)}
+                                    for item in changed
+                                ],
+                            }
+                        ),
+                        None,
+                    )
             yield Wait(until=self._loop.now() + LOOK)
 
 
@@ -262,8 +294,11 @@
 def _item(item: Item) -> Json:
     each: Json = {"key": b64encode(item.key).decode(), "mod_revision": str(item.mod)}
     if item.version:
-        each |= {"create_revision": str(item.create), "version": str(item.version),
-                 "value": b64encode(item.value).decode()}
+        each |= {
+            "create_revision": str(item.create),
+            "version": str(item.version),
+            "value": b64encode(item.value).decode(),
+        }
         if item.lease:
             each["lease"] = str(item.lease)
     return each
@@ -271,20 +306,33 @@
 
 def _op(body: Json) -> Request:
     """One operation of a transaction, as the model takes it."""
-    (kind, each), = body.items()
+    ((kind, each),) = body.items()
     if kind == "request_put":
-        return {"op": "put", "key": _bytes(each, "key"), "value": _bytes(each, "value"),
-                "lease": int(each.get("lease", 0))}
+        return {
+            "op": "put",
+            "key": _bytes(each, "key"),
+            "value": _bytes(each, "value"),
+            "lease": int(each.get("lease", 0)),
+        }
     if kind == "request_delete_range":
         return {"op": "delete", "key": _bytes(each, "key"), "end": _bytes(each, "range_end")}
     if kind == "request_range":
-        return {"op": "range", "key": _bytes(each, "key"), "end": _bytes(each, "range_end"),
-                "revision": int(each.get("revision", 0))}
+        return {
+            "op": "range",
+            "key": _bytes(each, "key"),
+            "end": _bytes(each, "range_end"),
+            "revision": int(each.get("revision", 0)),
+        }
     raise Refused(INVALID, f"an operation {kind!r} is not known")
 
 
-_TARGETS = {"VERSION": "version", "CREATE": "create_revision", "MOD": "mod_revision", "LEASE": "lease",
-            "VALUE": "value"}
+_TARGETS = {
+    "VERSION": "version",
+    "CREATE": "create_revision",
+    "MOD": "mod_revision",
+    "LEASE": "lease",
+    "VALUE": "value",
+}
 
 
 def _compare(body: Json) -> Request:
--- a/pulleyroute/emulator/store_model.py
+++ b/pulleyroute/emulator/store_model.py
@@ -77,14 +77,19 @@
         """
         if start <= self.compacted:
             raise Refused(OUT_OF_RANGE, "mvcc: required revision has been compacted")
-        changed = [item for name, items in self._history.items() for item in items
-                   if item.mod >= start and (_within(name, key, end) if end else name == key)]
+        changed = [
+            item
+            for name, items in self._history.items()
+            for item in items
+            if item.mod >= start and (_within(name, key, end) if end else name == key)
+        ]
         return sorted(changed, key=lambda item: (item.mod, item.key))
 
     # Changing
 
-    def txn(self, compares: list[Request], success: list[Request], failure: list[Request]
-            ) -> tuple[bool, list[Any]]:
+    def txn(
+        self, compares: list[Request], success: list[Request], failure: list[Request]
+    ) -> tuple[bool, list[Any]]:
         """Carry out one branch whole, or raise `Refused` and change nothing.
 
         Answers, one an operation: the items of a range or a deletion, None for a put.
@@ -128,20 +133,35 @@
             item = Item(compare["key"], b"", 0, 0, 0)
             if compare["target"] == "VALUE":
                 return False  # there is no value to compare with
-        have = {"VERSION": item.version, "CREATE": item.create, "MOD": item.mod, "LEASE": item.lease,
-                "VALUE": item.value}[compare["target"]]
+        have = {
+            "VERSION": item.version,
+            "CREATE": item.create,
+            "MOD": item.mod,
+            "LEASE": item.lease,
+            "VALUE": item.value,
+        }[compare["target"]]
         want = compare["want"]
-        return bool({"EQUAL": have == want, "NOT_EQUAL": have != want, "GREATER": have > want,
-                     "LESS": have < want}[compare["result"]])
+        return bool(
+            {"EQUAL": have == want, "NOT_EQUAL": have != want, "GREATER": have > want, "LESS": have < want}[
+                compare["result"]
+            ]
+        )
 
     def _put(self, key: bytes, value: bytes, lease: int, revision: int) -> None:
         old = self._at(key, self.revision)
         if old is not None and old.lease:
             self.leases[old.lease].keys.discard(key)
         new = old is None or not old.version
-        self._history.setdefault(key, []).append(Item(
-            key, value, revision if new or old is None else old.create, revision,
-            1 if old is None else old.version + 1, lease))
+        self._history.setdefault(key, []).append(
+            Item(
+                key,
+                value,
+                revision if new or old is None else old.create,
+                revision,
+                1 if old is None else old.version + 1,
+                lease,
+            )
+        )
         if lease:
             self.leases[lease].keys.add(key)
         self.revision = revision
--- a/pulleyroute/fleet/agent.py
+++ b/pulleyroute/fleet/agent.py
@@ -80,8 +80,15 @@
 class Agent:
     """Owns the mirror, the lease and the process's records."""
 
-    def __init__(self, loop: Loop, pool: BufferPool, store: list[tuple[str, int]], place: Place,
-                 served: Served, seed: int) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        pool: BufferPool,
+        store: list[tuple[str, int]],
+        place: Place,
+        served: Served,
+        seed: int,
+    ) -> None:
         self._loop, self._place, self._served = loop, place, served
         self._random = Random(seed)
         self.client = Client(loop, pool, store, self._random.getrandbits(64))
@@ -139,7 +146,8 @@
                 if not self._cut:
                     self._cut = True
                     logger.bind(event="fleet.lost").warning(
-                        "fleet: the store can't be reached, nothing planned happens meanwhile: {}", exc)
+                        "fleet: the store can't be reached, nothing planned happens meanwhile: {}", exc
+                    )
                 # Guards the store's return against all members at once.
                 yield Wait(until=self._loop.now() + pause.failed())
             except Compacted:
@@ -176,7 +184,8 @@
         revision, items = yield from self.client.range(self._keys.prefix, self._keys.end)
         if revision < self._read_at:
             logger.bind(event="fleet.regressed", revision=revision).warning(
-                "fleet: the store went back from revision {} to {}", self._read_at, revision)
+                "fleet: the store went back from revision {} to {}", self._read_at, revision
+            )
         self._mirror = {item.key: item for item in items}
         self._read_at, self._fresh_at, self._known = revision, asked, None
 
@@ -203,12 +212,14 @@
         """What the mirror says."""
         if self._known is None:
             self._known = records.known(
-                self._keys, ((item.key, item.value) for item in self._mirror.values()))
+                self._keys, ((item.key, item.value) for item in self._mirror.values())
+            )
             for key in self._known.spoilt:
                 if key not in self._spoilt:
                     self._spoilt.add(key)
                     logger.bind(event="fleet.spoilt", key=key).warning(
-                        "fleet: the record {} can't be read and is passed over", key)
+                        "fleet: the record {} can't be read and is passed over", key
+                    )
         return self._known
 
     def _item(self, kind: str, *names: str) -> Item:
@@ -237,22 +248,35 @@
         # From the record, not from the answer: that of the claim may have been lost.
         self._incarnation = known.seats[me].incarnation
         word, item = known.words.get(me), self._item("word", me)
-        if (word is None or (word.incarnation, word.phase) != (self._incarnation, self._served.phase.value)
-                or item.lease != self._right.lease):
-            yield from self._write(item, self._value(
-                incarnation=self._incarnation, phase=self._served.phase.value, version=self._place.version),
-                self._own(), lease=self._right.lease)
+        if (
+            word is None
+            or (word.incarnation, word.phase) != (self._incarnation, self._served.phase.value)
+            or item.lease != self._right.lease
+        ):
+            yield from self._write(
+                item,
+                self._value(
+                    incarnation=self._incarnation, phase=self._served.phase.value, version=self._place.version
+                ),
+                self._own(),
+                lease=self._right.lease,
+            )
 
     def _value(self, **values: object) -> bytes:
         """A record unlike any other: the store's client settles lost answers by it."""
         self._count += 1
         return records.encode(mark=f"{self._token}-{self._count}", **values)
 
-    def _write(self, item: Item, value: bytes | None, guards: list[Json], also: list[Json] | None = None,
-               lease: int = 0) -> Coroutine[bool]:
+    def _write(
+        self,
+        item: Item,
+        value: bytes | None,
+        guards: list[Json],
+        also: list[Json] | None = None,
+        lease: int = 0,
+    ) -> Coroutine[bool]:
         """One change, whole or not at all, and the whole read anew; False where somebody's came before."""
-        other = yield from self.client.commit(
-            item, value, self._loop.now() + WRITE_TIME, lease, guards, also)
+        other = yield from self.client.commit(item, value, self._loop.now() + WRITE_TIME, lease, guards, also)
         yield from self._read()
         self._changed = True
         if other is None:
@@ -266,8 +290,15 @@
 
     def _act(self) -> Coroutine[None]:
         place = self._place
-        step = drains.step(place.member, self._token, self._incarnation, self._served.phase.value,
-                           self._planned, self.known, place.bounds)
+        step = drains.step(
+            place.member,
+            self._token,
+            self._incarnation,
+            self._served.phase.value,
+            self._planned,
+            self.known,
+            place.bounds,
+        )
         if step.act in (Act.STANDBY, Act.LEAVE) and not self._may_go():
             # Guards the limits against a process that stood still: what it knew may have passed meanwhile.
             yield from self._read()
@@ -277,7 +308,8 @@
             self._why = step.why
             if step.why:
                 logger.bind(event="fleet.step", act=step.act.name.lower()).info(
-                    "fleet: {}: {}", step.act.value, step.why)
+                    "fleet: {}: {}", step.act.value, step.why
+                )
         yield from self._carry_out(step)
 
     def _may_go(self) -> bool:
@@ -291,12 +323,21 @@
         elif step.act is Act.ASK:
             assert self._incarnation is not None
             known = self.known
-            guards = [*self._own(), unchanged(stands(self._mirror, self._keys.roll)),
-                      unchanged(self._item("wish", me))]
+            guards = [
+                *self._own(),
+                unchanged(stands(self._mirror, self._keys.roll)),
+                unchanged(self._item("wish", me)),
+            ]
             # The count is of one moment: whoever it rests on has to serve still when the permit is written.
             guards += [unchanged(self._item("word", name)) for name in drains.counted(known)]
-            if (yield from self._write(self._item("permit", me), self._value(incarnation=self._incarnation),
-                                       guards, self._told("out", known.wishes[me].why, self._keys.roll))):
+            if (
+                yield from self._write(
+                    self._item("permit", me),
+                    self._value(incarnation=self._incarnation),
+                    guards,
+                    self._told("out", known.wishes[me].why, self._keys.roll),
+                )
+            ):
                 logger.bind(event="fleet.permit").info("fleet: has a permit to be out")
         elif step.act is Act.RETURN:
             permit, wish = self._item("permit", me), self._item("wish", me)
@@ -334,7 +375,9 @@
             yield from self._write(
                 self._item("ack", pool, runner, me),
                 self._value(incarnation=self._incarnation, of=mark.token),
-                [*self._own(), unchanged(self._item("mark", pool, runner))], lease=self._right.lease)
+                [*self._own(), unchanged(self._item("mark", pool, runner))],
+                lease=self._right.lease,
+            )
             return
         if runners.hand(known) != me:
             return
@@ -346,23 +389,36 @@
             want = known.wants[pool, runner]
             roll = self._keys.roll_runners
             yield from self._write(
-                self._item("mark", pool, runner), self._value(by=want.by, why=want.why),
-                [*self._own(), unchanged(stands(self._mirror, roll)),
-                 unchanged(self._item("want", pool, runner))],
-                self._told(f"drain {pool}/{runner}", want.why, roll))
+                self._item("mark", pool, runner),
+                self._value(by=want.by, why=want.why),
+                [
+                    *self._own(),
+                    unchanged(stands(self._mirror, roll)),
+                    unchanged(self._item("want", pool, runner)),
+                ],
+                self._told(f"drain {pool}/{runner}", want.why, roll),
+            )
             return
 
     def _release(self) -> Coroutine[None]:
         """While a release is in hand: tell how one's jobs went, and lead it where nobody else does."""
         known, me, now = self.known, self._place.member, self._loop.now()
-        if (known.release is None or known.release.state not in release.ACTIVE or self._right is None
-                or not self._seated()):
+        if (
+            known.release is None
+            or known.release.state not in release.ACTIVE
+            or self._right is None
+            or not self._seated()
+        ):
             return
         if now >= self._health_at:
             self._health_at = now + HEALTH_TIME
             good, ended = self._served.jobs()
-            yield from self._write(self._item("health", me), self._value(
-                incarnation=self._incarnation, good=good, ended=ended), self._own(), lease=self._right.lease)
+            yield from self._write(
+                self._item("health", me),
+                self._value(incarnation=self._incarnation, good=good, ended=ended),
+                self._own(),
+                lease=self._right.lease,
+            )
             return
         self._look_at = min(self._look_at, self._health_at)
         lead = stands(self._mirror, self._keys.lead)
@@ -386,29 +442,51 @@
         if move.release is not None:
             what = f"release {move.release.name}: {move.release.state}, wave {move.release.wave + 1}"
             logger.bind(event="fleet.release", state=move.release.state).info("fleet: {}", what)
-            yield from self._write(record, self._value(**records.written(move.release)), guards,
-                                   [*also, *self._told(what, move.release.why, keys.roll)])
+            yield from self._write(
+                record,
+                self._value(**records.written(move.release)),
+                guards,
+                [*also, *self._told(what, move.release.why, keys.roll)],
+            )
         elif also:
             first = next(iter((*wishes, *move.dropped)))
-            yield from self._write(self._item("wish", first), wishes.get(first),
-                                   [*guards, unchanged(record)], also[1:])
+            yield from self._write(
+                self._item("wish", first), wishes.get(first), [*guards, unchanged(record)], also[1:]
+            )
 
     def _claim(self) -> Coroutine[None]:
         place = self._place
         seat = self.known.seats.get(place.member)
         number = max(seat.incarnation + 1 if seat is not None else 1, self._incarnation or 0)
         value = self._value(incarnation=number, token=self._token, zone=place.zone, region=place.region)
-        if (yield from self._write(self._item("seat", place.member), value, [],
-                                   [put(self._keys.roll, self._value())])):
+        if (
+            yield from self._write(
+                self._item("seat", place.member), value, [], [put(self._keys.roll, self._value())]
+            )
+        ):
             logger.bind(event="fleet.joined", incarnation=number).info(
-                "fleet: {} has the seat {} as incarnation {}", place.group, place.member, number)
+                "fleet: {} has the seat {} as incarnation {}", place.group, place.member, number
+            )
 
     def _told(self, what: str, why: str, roll: bytes) -> list[Json]:
         """What goes with every change of permits or marks: their roll, and a line of the history."""
         keys = self._keys
-        old = sorted(key for key, item in self._mirror.items()
-                     if item.value is not None and key.startswith(keys.of("history", "")))[:-HISTORY]
-        return [put(roll, self._value()),
-                put(*records.line(keys, time.time_ns() // 1_000_000, self._place.member, what, why,
-                                  self._random.getrandbits(32))),
-                *(delete(key) for key in old[:OLD_AT_ONCE])]
+        old = sorted(
+            key
+            for key, item in self._mirror.items()
+            if item.value is not None and key.startswith(keys.of("history", ""))
+        )[:-HISTORY]
+        return [
+            put(roll, self._value()),
+            put(
+                *records.line(
+                    keys,
+                    time.time_ns() // 1_000_000,
+                    self._place.member,
+                    what,
+                    why,
+                    self._random.getrandbits(32),
+                )
+            ),
+            *(delete(key) for key in old[:OLD_AT_ONCE]),
+        ]
--- a/pulleyroute/fleet/drains.py
+++ b/pulleyroute/fleet/drains.py
@@ -71,14 +71,18 @@
 
         def of(part: Part | None, there: int) -> int | None:
             return None if part is None else part.of(there) - unseen
+
         return Limits(
             of(self.fleet, max(len(seats), self.size)),
             of(self.zone, sum(1 for each in near if each.zone == seat.zone)),
-            of(self.region, len(near)), self.least_serving)
+            of(self.region, len(near)),
+            self.least_serving,
+        )
 
 
-def step(me: str, token: str, incarnation: int | None, phase: str, planned: bool, known: Known,
-         bounds: Bounds) -> Step:
+def step(
+    me: str, token: str, incarnation: int | None, phase: str, planned: bool, known: Known, bounds: Bounds
+) -> Step:
     """What a process does next.
 
     `token`: unlike any other process's; `incarnation`: that it claimed its seat with, None before; `phase`:
--- a/pulleyroute/fleet/members.py
+++ b/pulleyroute/fleet/members.py
@@ -104,8 +104,11 @@
         return None
     rows = (
         ("the fleet", limits.fleet, len(gone)),
-        (f"zone {asker.zone}", limits.zone,
-         sum(1 for each in gone if (each.region, each.zone) == (asker.region, asker.zone))),
+        (
+            f"zone {asker.zone}",
+            limits.zone,
+            sum(1 for each in gone if (each.region, each.zone) == (asker.region, asker.zone)),
+        ),
         (f"region {asker.region}", limits.region, sum(1 for each in gone if each.region == asker.region)),
     )
     for where, most, out in rows:
--- a/pulleyroute/fleet/operate.py
+++ b/pulleyroute/fleet/operate.py
@@ -38,8 +38,10 @@
     def look(self) -> Coroutine[tuple[Known, dict[bytes, Item]]]:
         """What stands in the store now."""
         _, items = yield from self._client.range(self._keys.prefix, self._keys.end)
-        return (records.known(self._keys, ((item.key, item.value) for item in items)),
-                {item.key: item for item in items})
+        return (
+            records.known(self._keys, ((item.key, item.value) for item in items)),
+            {item.key: item for item in items},
+        )
 
     def members(self) -> Coroutine[list[dict[str, Any]]]:
         """A row for each member, in the order of their names."""
@@ -48,12 +50,21 @@
         rows = []
         for name, seat in sorted(known.seats.items()):
             word, wish = known.words.get(name), known.wishes.get(name)
-            rows.append({
-                "name": name, "zone": seat.zone, "region": seat.region, "incarnation": seat.incarnation,
-                "version": word.version if word is not None else "", "standing": known_as[name].value,
-                "phase": word.phase if word is not None else "",
-                "out": known_as[name] is not Standing.SERVING, "permit": name in known.permits,
-                "wish": wish.do if wish is not None else "", "why": wish.why if wish is not None else ""})
+            rows.append(
+                {
+                    "name": name,
+                    "zone": seat.zone,
+                    "region": seat.region,
+                    "incarnation": seat.incarnation,
+                    "version": word.version if word is not None else "",
+                    "standing": known_as[name].value,
+                    "phase": word.phase if word is not None else "",
+                    "out": known_as[name] is not Standing.SERVING,
+                    "permit": name in known.permits,
+                    "wish": wish.do if wish is not None else "",
+                    "why": wish.why if wish is not None else "",
+                }
+            )
         return rows
 
     def history(self) -> Coroutine[list[Event]]:
@@ -72,6 +83,7 @@
             wish = Wish(name, do, seat.incarnation, version, self._by, why)
             value = self._value(**wish.values())
             return self._item(items, "wish", name), value, [unchanged(self._item(items, "seat", name))], []
+
         yield from self._change(f"{do} {name}", why, change)
 
     def undrain(self, name: str, why: str) -> Coroutine[None]:
@@ -81,6 +93,7 @@
             if name not in known.wishes:
                 raise Refused(f"nobody wants {name} out")
             return self._item(items, "wish", name), None, [], []
+
         yield from self._change(f"undrain {name}", why, change)
 
     def forget(self, name: str, why: str) -> Coroutine[None]:
@@ -94,9 +107,17 @@
                 raise Refused(f"{name} is not in this fleet")
             if name in known.words:
                 raise Refused(f"{name} is there: its process has spoken within its lease")
-            return self._item(items, "seat", name), None, [], [
-                delete(self._keys.of("permit", name)), delete(self._keys.of("wish", name)),
-                put(self._keys.roll, self._value())]
+            return (
+                self._item(items, "seat", name),
+                None,
+                [],
+                [
+                    delete(self._keys.of("permit", name)),
+                    delete(self._keys.of("wish", name)),
+                    put(self._keys.roll, self._value()),
+                ],
+            )
+
         yield from self._change(f"forget {name}", why, change)
 
     # Runners
@@ -108,10 +129,16 @@
         for pool, runner in sorted(set(known.wants) | set(known.marks)):
             marked = (pool, runner) in known.marks
             waits = unconfirmed(known, pool, runner) if marked else []
-            rows.append({
-                "pool": pool, "name": runner, "by": known.wants.get((pool, runner), Mark("")).by,
-                "why": known.wants.get((pool, runner), Mark("")).why,
-                "state": "wanted" if not marked else "draining" if waits else "drained", "waits": waits})
+            rows.append(
+                {
+                    "pool": pool,
+                    "name": runner,
+                    "by": known.wants.get((pool, runner), Mark("")).by,
+                    "why": known.wants.get((pool, runner), Mark("")).why,
+                    "state": "wanted" if not marked else "draining" if waits else "drained",
+                    "waits": waits,
+                }
+            )
         return rows
 
     def drain_runner(self, pool: str, runner: str, why: str) -> Coroutine[None]:
@@ -121,6 +148,7 @@
             if not known.seats:
                 raise Refused("nobody is in this fleet")
             return self._item(items, "want", pool, runner), self._value(by=self._by, why=why), [], []
+
         yield from self._change(f"want {pool}/{runner} drained", why, change)
 
     def undrain_runner(self, pool: str, runner: str, why: str) -> Coroutine[None]:
@@ -134,6 +162,7 @@
             also = [put(self._keys.roll_runners, self._value()), *acks]
             # Guards against a mark that is made meanwhile: it would be left without anybody who wants it.
             return want, None, [unchanged(mark)], [*also, delete(mark.key)]
+
         yield from self._change(f"undrain {pool}/{runner}", why, change)
 
     # Releases
@@ -145,25 +174,34 @@
         def change(known: Known, items: dict[bytes, Item]) -> Change:
             told[:] = [release.begin(plan, known)]
             return stands(items, self._keys.release), self._value(**records.written(told[0])), [], []
+
         yield from self._change(f"release {plan.name}: start", plan.version, change)
         return told[0]
 
     def move(self, to: release.State, why: str) -> Coroutine[None]:
         """Halt, resume or take back the release in hand; the last word wins."""
-        come_from = {release.State.HALTED: ("running", "backing"), release.State.RUNNING: ("halted",),
-                     release.State.BACKING: ("running", "halted", "done")}[to]
+        come_from = {
+            release.State.HALTED: ("running", "backing"),
+            release.State.RUNNING: ("halted",),
+            release.State.BACKING: ("running", "halted", "done"),
+        }[to]
 
         def change(known: Known, items: dict[bytes, Item]) -> Change:
             now = known.release
             if now is None or now.state not in come_from:
-                raise Refused("no release is in hand" if now is None
-                              else f"release {now.name} is {now.state}")
+                raise Refused(
+                    "no release is in hand" if now is None else f"release {now.name} is {now.state}"
+                )
             # Wishes that have no permit yet are not carried out any more.
             dropped = release.idle_wishes(now, known)
             value = self._value(**records.written(replace(now, state=to.value, why=why)))
-            return (stands(items, self._keys.release), value,
-                    [unchanged(self._item(items, "wish", name)) for name in dropped],
-                    [delete(self._keys.of("wish", name)) for name in dropped])
+            return (
+                stands(items, self._keys.release),
+                value,
+                [unchanged(self._item(items, "wish", name)) for name in dropped],
+                [delete(self._keys.of("wish", name)) for name in dropped],
+            )
+
         yield from self._change(f"release: {to.value}", why, change)
 
     def _item(self, items: dict[bytes, Item], kind: str, *names: str) -> Item:
@@ -172,15 +210,17 @@
     def _value(self, **values: object) -> bytes:
         return records.encode(mark=f"{self._random.getrandbits(64):016x}", **values)
 
-    def _change(self, what: str, why: str,
-                change: Callable[[Known, dict[bytes, Item]], Change]) -> Coroutine[None]:
+    def _change(
+        self, what: str, why: str, change: Callable[[Known, dict[bytes, Item]], Change]
+    ) -> Coroutine[None]:
         for _ in range(TRIES):
             known, items = yield from self.look()
             item, value, guards, also = change(known, items)
             at = time.time_ns() // 1_000_000
             line = records.line(self._keys, at, self._by, what, why, self._random.getrandbits(32))
             other = yield from self._client.commit(
-                item, value, self._loop.now() + WRITE_TIME, guards=guards, also=[*also, put(*line)])
+                item, value, self._loop.now() + WRITE_TIME, guards=guards, also=[*also, put(*line)]
+            )
             if other is None:
                 return
         raise Refused("the records change too fast; nothing was done")
--- a/pulleyroute/fleet/records.py
+++ b/pulleyroute/fleet/records.py
@@ -168,7 +168,7 @@
     for key, value in values:
         if value is None or not key.startswith(keys.prefix):
             continue
-        kind, *names = (unquote(each) for each in key[len(keys.prefix):].decode(errors="replace").split("/"))
+        kind, *names = (unquote(each) for each in key[len(keys.prefix) :].decode(errors="replace").split("/"))
         try:
             _read(out, kind, names, value)
         except (ValueError, KeyError, TypeError):
@@ -179,13 +179,25 @@
 
 
 def _read(out: Known, kind: str, names: list[str], value: bytes) -> None:
-    if kind not in ("seat", "word", "permit", "wish", "want", "mark", "ack", "history", "lead", "release",
-                    "health"):
+    if kind not in (
+        "seat",
+        "word",
+        "permit",
+        "wish",
+        "want",
+        "mark",
+        "ack",
+        "history",
+        "lead",
+        "release",
+        "health",
+    ):
         return  # of a later version, or a roll
     read = decode(value)
     if kind == "history":
-        out.history.append(Event(_whole(read["at"]), str(read["by"]), str(read["what"]),
-                                 str(read.get("why", ""))))
+        out.history.append(
+            Event(_whole(read["at"]), str(read["by"]), str(read["what"]), str(read.get("why", "")))
+        )
         return
     if kind == "lead":
         out.lead = str(read["token"])
@@ -202,7 +214,7 @@
         pool, runner, member = names
         out.acks[pool, runner, member] = _whole(read["incarnation"]), str(read["of"])
         return
-    name, = names
+    (name,) = names
     number = _whole(read["incarnation"])
     if kind == "health":
         out.health[name] = Health(number, _whole(read["good"]), _whole(read["ended"]))
@@ -218,16 +230,27 @@
         do = read["do"]
         if do not in ("standby", "restart"):
             raise ValueError(f"a wish for {do!r}")
-        out.wishes[name] = Wish(name, do, number, str(read.get("version", "")), str(read.get("by", "")),
-                                str(read.get("why", "")))
+        out.wishes[name] = Wish(
+            name, do, number, str(read.get("version", "")), str(read.get("by", "")), str(read.get("why", ""))
+        )
 
 
 def _release(read: dict[str, Any]) -> Release:
     release = Release(
-        str(read["name"]), str(read["version"]), str(read["state"]), str(read["why"]), _whole(read["wave"]),
-        tuple(_whole(each) for each in read["counts"]), tuple(str(each) for each in read["members"]),
-        tuple(str(each) for each in read["previous"]), _whole(read["at_once"]), _whole(read["soak"]),
-        _whole(read["patience"]), str(read["on_failure"]), float(read["before"]))
+        str(read["name"]),
+        str(read["version"]),
+        str(read["state"]),
+        str(read["why"]),
+        _whole(read["wave"]),
+        tuple(_whole(each) for each in read["counts"]),
+        tuple(str(each) for each in read["members"]),
+        tuple(str(each) for each in read["previous"]),
+        _whole(read["at_once"]),
+        _whole(read["soak"]),
+        _whole(read["patience"]),
+        str(read["on_failure"]),
+        float(read["before"]),
+    )
     if len(release.members) != len(release.previous) or not release.wave < len(release.counts):
         raise ValueError("a release that does not fit together")
     return release
--- a/pulleyroute/fleet/release.py
+++ b/pulleyroute/fleet/release.py
@@ -76,8 +76,12 @@
     missing = set(plan.zones) - {seat.zone for seat in known.seats.values()}
     if missing:
         raise Refused(f"no member stands in zone {', '.join(sorted(missing))}")
-    order = [name for rank in range(max(map(len, zones.values()), default=0))
-             for _, names in sorted(zones.items()) for name in names[rank:rank + 1]]
+    order = [
+        name
+        for rank in range(max(map(len, zones.values()), default=0))
+        for _, names in sorted(zones.items())
+        for name in names[rank : rank + 1]
+    ]
     if not order:
         raise Refused("no member is meant by it")
     silent = [name for name in order if name not in known.words]
@@ -93,9 +97,20 @@
     if not counts or counts[-1] < len(order):
         counts.append(len(order))
     return Release(
-        plan.name, plan.version, State.RUNNING.value, "", 0, tuple(counts), tuple(order),
-        tuple(known.words[name].version for name in order), plan.at_once, plan.soak, plan.patience,
-        plan.on_failure, UNCOUNTED)
+        plan.name,
+        plan.version,
+        State.RUNNING.value,
+        "",
+        0,
+        tuple(counts),
+        tuple(order),
+        tuple(known.words[name].version for name in order),
+        plan.at_once,
+        plan.soak,
+        plan.patience,
+        plan.on_failure,
+        UNCOUNTED,
+    )
 
 
 def _sum(health: Mapping[str, Health], names: list[str]) -> Served:
@@ -148,7 +163,7 @@
             return Move(wait="waits for the counts of jobs")
         good, ended = _sum(known.health, list(known.health))
         return Move(replace(release, before=good / ended if ended >= ENOUGH else TOO_FEW))
-    target = release.members[:release.counts[release.wave]]
+    target = release.members[: release.counts[release.wave]]
     parts = _parts(release, known, seen)
     bad = _blamed(release, *parts)
     if bad is not None:
@@ -157,8 +172,12 @@
     if waiting:
         seen.whole = None
         if now - seen.since > release.patience:
-            return _fail(release, known, f"wave {release.wave + 1} is over its patience: "
-                                         f"{', '.join(waiting)} did not come back as {release.version}")
+            return _fail(
+                release,
+                known,
+                f"wave {release.wave + 1} is over its patience: "
+                f"{', '.join(waiting)} did not come back as {release.version}",
+            )
         return _wish(release, known, [(name, release.version) for name in waiting])
     if seen.whole is None:
         seen.whole = now
@@ -177,9 +196,11 @@
     by = author(release)
     out = [name for name, _ in meant if name in known.wishes]
     room = release.at_once - len(out)
-    new = [Wish(name, "restart", known.seats[name].incarnation, version, by, by)
-           for name, version in meant if name in known.words and name not in known.wishes
-           and name not in known.permits][:max(0, room)]
+    new = [
+        Wish(name, "restart", known.seats[name].incarnation, version, by, by)
+        for name, version in meant
+        if name in known.words and name not in known.wishes and name not in known.permits
+    ][: max(0, room)]
     return Move(wishes=tuple(new), wait="" if new else f"waits for {', '.join(name for name, _ in meant)}")
 
 
@@ -190,8 +211,11 @@
 
 def idle_wishes(release: Release, known: Known) -> tuple[str, ...]:
     """Members with a wish of this release that have no permit yet: it can be taken back."""
-    return tuple(name for name, wish in known.wishes.items()
-                 if wish.by == author(release) and name not in known.permits)
+    return tuple(
+        name
+        for name, wish in known.wishes.items()
+        if wish.by == author(release) and name not in known.permits
+    )
 
 
 def _fail(release: Release, known: Known, why: str) -> Move:
@@ -209,8 +233,11 @@
         stand = ", ".join(f"{name} as {versions.get(name, 'nobody knows what')}" for name in waiting)
         why = f"the way back is over its patience: {stand}"
         return Move(replace(release, state=State.HALTED.value, why=why), dropped=idle_wishes(release, known))
-    wrong = [name for name in waiting if name in known.wishes and name not in known.permits
-             and known.wishes[name].version != was[name]]
+    wrong = [
+        name
+        for name in waiting
+        if name in known.wishes and name not in known.permits and known.wishes[name].version != was[name]
+    ]
     if wrong:
         return Move(dropped=tuple(wrong))
     return _wish(release, known, [(name, was[name]) for name in waiting])
@@ -218,11 +245,20 @@
 
 def _parts(release: Release, known: Known, seen: Seen) -> tuple[Served, Served]:
     """Jobs served and ended: by those that have the version, and by the others since the wave began."""
-    target = set(release.members[:release.counts[release.wave]])
-    new = [name for name, word in known.words.items()
-           if word.version == release.version and name in target and _present(name, known)]
-    old = [name for name in known.seats if name not in target and name in known.health and name in seen.base
-           and known.health[name].incarnation == seen.base[name].incarnation]
+    target = set(release.members[: release.counts[release.wave]])
+    new = [
+        name
+        for name, word in known.words.items()
+        if word.version == release.version and name in target and _present(name, known)
+    ]
+    old = [
+        name
+        for name in known.seats
+        if name not in target
+        and name in known.health
+        and name in seen.base
+        and known.health[name].incarnation == seen.base[name].incarnation
+    ]
     good = sum(known.health[name].good - seen.base[name].good for name in old)
     ended = sum(known.health[name].ended - seen.base[name].ended for name in old)
     return _sum(known.health, new), (good, ended)
--- a/pulleyroute/fleet/store.py
+++ b/pulleyroute/fleet/store.py
@@ -105,9 +105,15 @@
         stream = None
         try:
             stream = yield from connect(self._loop, self._pool, address, until)
-            head = h11.Request(method=b"POST", target=path.encode(), headers=[
-                (b"Host", "{}:{}".format(*address).encode()), (b"Content-Type", b"application/json"),
-                (b"Content-Length", b"%d" % len(data))])
+            head = h11.Request(
+                method=b"POST",
+                target=path.encode(),
+                headers=[
+                    (b"Host", "{}:{}".format(*address).encode()),
+                    (b"Content-Type", b"application/json"),
+                    (b"Content-Length", b"%d" % len(data)),
+                ],
+            )
             yield from stream.send(stream.frame(head, data), until)
         except (Broken, Crowded, Late, Malformed) as exc:
             self._at += 1
@@ -147,8 +153,9 @@
         told = yield from self.call("/v3/kv/range", {"key": _text(key), "range_end": _text(end)})
         return _shaped(lambda: (int(told["header"]["revision"]), [_item(kv) for kv in told.get("kvs", [])]))
 
-    def watch(self, key: bytes, end: bytes, start: int, heard: Callable[[list[Item], int], None],
-              silence: int) -> Coroutine[None]:
+    def watch(
+        self, key: bytes, end: bytes, start: int, heard: Callable[[list[Item], int], None], silence: int
+    ) -> Coroutine[None]:
         """Tell `heard` of changes from a revision on, with the store's; ends by `Lost` or `Compacted`.
 
         `silence`: us after which a watch that told nothing counts as broken; whoever watches then reads the
@@ -184,8 +191,15 @@
 
     # Writing
 
-    def commit(self, item: Item, value: bytes | None, until: int, lease: int = 0,
-               guards: list[Json] | None = None, also: list[Json] | None = None) -> Coroutine[Item | None]:
+    def commit(
+        self,
+        item: Item,
+        value: bytes | None,
+        until: int,
+        lease: int = 0,
+        guards: list[Json] | None = None,
+        also: list[Json] | None = None,
+    ) -> Coroutine[Item | None]:
         """Put a value, or delete for None, if the key still stands as `item` and all guards hold.
 
         Tried until it is answered. `value` has to be unlike any other put there; `also` is carried out in the
@@ -273,8 +287,13 @@
     key = b64decode(each["key"])
     if gone:
         return Item(key, None, int(each.get("mod_revision", 0)))
-    return Item(key, b64decode(each.get("value", "")), int(each["mod_revision"]),
-                int(each["create_revision"]), int(each.get("lease", 0)))
+    return Item(
+        key,
+        b64decode(each.get("value", "")),
+        int(each["mod_revision"]),
+        int(each["create_revision"]),
+        int(each.get("lease", 0)),
+    )
 
 
 def _shaped(read: Callable[[], T]) -> T:
--- a/pulleyroute/grpc/back.py
+++ b/pulleyroute/grpc/back.py
@@ -45,10 +45,19 @@
 class Calls:
     """Owns every connection to a pool's instances and the attempts on them. A `host.Back`."""
 
-    def __init__(self, loop: Loop, pool: BufferPool, discovery: DiscoveryClient, settings: Settings,
-                 limits: Limits, slots: float = SLOTS, message_bytes: int = 0,
-                 context: ssl.SSLContext | None = None, server_name: str = "",
-                 figures: Figures | None = None) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        pool: BufferPool,
+        discovery: DiscoveryClient,
+        settings: Settings,
+        limits: Limits,
+        slots: float = SLOTS,
+        message_bytes: int = 0,
+        context: ssl.SSLContext | None = None,
+        server_name: str = "",
+        figures: Figures | None = None,
+    ) -> None:
         self._figures = figures or Figures()
         self._loop, self._pool, self._discovery, self._settings = loop, pool, discovery, settings
         self.limits, self.slots, self.message_bytes = limits, slots, message_bytes
@@ -95,8 +104,12 @@
             self._let_go(attempt)
             return
         left = attempt.timeout_at - self._loop.now()
-        headers = request_headers(call.head, b"https" if self.context is not None else b"http", left,
-                                  call.head.attempts + attempt.index)
+        headers = request_headers(
+            call.head,
+            b"https" if self.context is not None else b"http",
+            left,
+            call.head.attempts + attempt.index,
+        )
         attempt.kept = True  # a connection is many calls': its end says nothing of this one's instance
         attempt.written = True  # from its head on it may run
         try:
@@ -184,8 +197,9 @@
             tls = None
             if self.context is not None:
                 tls = Tls(self.context, False, self.server_name or member.address[0])
-            connection = Http2(self._loop, self._pool, sock, False, self.limits, tls,
-                               gone=self._gone(instance))
+            connection = Http2(
+                self._loop, self._pool, sock, False, self.limits, tls, gone=self._gone(instance)
+            )
             task = site.connecting
             if task is not None:
                 connection.on_ready = task.nudge
@@ -198,7 +212,8 @@
                 raise Broken("it ended before its settings came")
         except (Broken, Crowded, Late) as exc:
             logger.bind(event="instance.unreachable", instance=instance.decode()).warning(
-                "instance {}: could not connect: {}", instance.decode(), exc or "not up in time")
+                "instance {}: could not connect: {}", instance.decode(), exc or "not up in time"
+            )
             if connection is not None:
                 connection.close("no use")
             # Guards the instance: descriptors that ran out here are no fault of its.
@@ -234,7 +249,9 @@
             if site is not None and connection in site.connections:
                 site.connections.remove(connection)
                 logger.bind(event="instance.connection_ended", instance=instance.decode()).info(
-                    "instance {}: connection ended: {}", instance.decode(), why)
+                    "instance {}: connection ended: {}", instance.decode(), why
+                )
+
         return gone
 
     def close_idle(self, instance: WorkerId) -> None:
@@ -273,5 +290,9 @@
         while site.connecting is not None and not site.connecting.done:
             yield Wait(until=self._loop.now() + 20_000)
         outcome = Outcome.CONNECT_FAILED if site.doubted else Outcome.OK
-        self.probed(instance, outcome, self._loop.now() - began,
-                    self._report(instance) if outcome is Outcome.OK else None)
+        self.probed(
+            instance,
+            outcome,
+            self._loop.now() - began,
+            self._report(instance) if outcome is Outcome.OK else None,
+        )
--- a/pulleyroute/grpc/call.py
+++ b/pulleyroute/grpc/call.py
@@ -44,9 +44,16 @@
     """A call as its client sees it. Owns the client's stream, what is kept of the request, and the one
     ending."""
 
-    def __init__(self, host: Host, stream: Stream, head: Head, replay: int, ledger: Ledger,
-                 message_bytes: int,
-                 over: Callable[[Call, Status], None]) -> None:
+    def __init__(
+        self,
+        host: Host,
+        stream: Stream,
+        head: Head,
+        replay: int,
+        ledger: Ledger,
+        message_bytes: int,
+        over: Callable[[Call, Status], None],
+    ) -> None:
         self.host = host
         self.stream = stream
         self.head = head
@@ -153,8 +160,9 @@
             self._deliver(said)
         elif answer.ending is Ending.REFUSED:
             self.refused = True
-            self.fail(Status.UNAVAILABLE, "refused: it has not run, come back later",
-                      advice=answer.retry_after)
+            self.fail(
+                Status.UNAVAILABLE, "refused: it has not run, come back later", advice=answer.retry_after
+            )
         elif said is not None:
             self.fail(said.status, f"failed and may have run: {said.text}")
         else:
@@ -168,8 +176,9 @@
         elif said.headers:
             self.stream.send_headers(passed(said.headers), end=True)
         else:
-            self.stream.send_headers([(b":status", b"200"), (b"content-type", b"application/grpc"),
-                                      *said.trailers], end=True)
+            self.stream.send_headers(
+                [(b":status", b"200"), (b"content-type", b"application/grpc"), *said.trailers], end=True
+            )
 
     def fail(self, status: Status, text: str, advice: int | None = None, cut: bool = False) -> None:
         """An ending of our own. `cut`: do not wait until what is on its way has been read."""
@@ -247,8 +256,9 @@
         if not self._bound or self.call.done:
             self.stream_consumed(len(data))
         elif not self._meter.feed(data):
-            self.call.fail(Status.RESOURCE_EXHAUSTED,
-                           "an answer's message is larger than the dispatcher takes")
+            self.call.fail(
+                Status.RESOURCE_EXHAUSTED, "an answer's message is larger than the dispatcher takes"
+            )
         else:
             self.call.stream.write(data)
 
@@ -260,8 +270,9 @@
             return
         self._over = True
         word = self._judge(trailers)
-        self.call.said = Said(word.status, trailers=passed(trailers) or closing(word.status,
-                                                                                "no status came"))
+        self.call.said = Said(
+            word.status, trailers=passed(trailers) or closing(word.status, "no status came")
+        )
         self._finish(self, word, trailers)
 
     def _conclude(self, is_grpc: bool) -> None:
@@ -272,15 +283,25 @@
         if is_grpc and one(head, b"grpc-status") is not None:
             self.call.said = Said(word.status, headers=head)
         else:
-            self.call.said = Said(word.status, trailers=closing(
-                word.status, f"an instance answered HTTP status {self._http} without a gRPC status"))
+            self.call.said = Said(
+                word.status,
+                trailers=closing(
+                    word.status, f"an instance answered HTTP status {self._http} without a gRPC status"
+                ),
+            )
         self._finish(self, word, head)
 
     def _judge(self, trailers: Headers) -> Word:
         host, attempt = self.call.host, self.attempt
         left = attempt.timeout_at - host.now()
-        return judge_trailers(self._http or 200, trailers, self._bound, left, attempt.unsafe,
-                              attempt.index + 1 >= host.max_attempts)
+        return judge_trailers(
+            self._http or 200,
+            trailers,
+            self._bound,
+            left,
+            attempt.unsafe,
+            attempt.index + 1 >= host.max_attempts,
+        )
 
     def sent(self, count: int) -> None:
         self.gone += count
--- a/pulleyroute/grpc/decide.py
+++ b/pulleyroute/grpc/decide.py
@@ -42,8 +42,9 @@
     return int(value) * 1000 if value.isdigit() and len(value) <= 10 else -1
 
 
-def judge_trailers(http: int, trailers: Headers, committed: bool, left: int, unsafe: bool,
-                   last: bool) -> Word:
+def judge_trailers(
+    http: int, trailers: Headers, committed: bool, left: int, unsafe: bool, last: bool
+) -> Word:
     """An attempt that ended with trailers, or with a head alone.
 
     `committed`: the client has had headers of it; `left`: microseconds until the call's deadline; `unsafe`:
@@ -124,7 +125,7 @@
                 out.append(chunk)
             else:
                 if at + len(chunk) > offset:
-                    out.append(chunk[offset - at:])
+                    out.append(chunk[offset - at :])
                 break
         out.reverse()
         return out
--- a/pulleyroute/grpc/front.py
+++ b/pulleyroute/grpc/front.py
@@ -61,10 +61,17 @@
 class Front:
     """Owns a listener, its accepted connections and the calls on them."""
 
-    def __init__(self, loop: Loop, pool: BufferPool, routes: Routes[Target], limits: FrontLimits,
-                 health: Health,
-                 context: ssl.SSLContext | None = None, name: str = "grpc",
-                 figures: Figures | None = None) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        pool: BufferPool,
+        routes: Routes[Target],
+        limits: FrontLimits,
+        health: Health,
+        context: ssl.SSLContext | None = None,
+        name: str = "grpc",
+        figures: Figures | None = None,
+    ) -> None:
         self._loop, self._pool = loop, pool
         self.routes, self.limits, self.context = routes, limits, context
         self.health = health
@@ -129,8 +136,9 @@
 
     def _welcome(self, sock: socket.socket) -> None:
         tls = Tls(self.context, True) if self.context is not None else None
-        connection = Http2(self._loop, self._pool, sock, True, self.limits.connection, tls, self._opened,
-                           self._gone)
+        connection = Http2(
+            self._loop, self._pool, sock, True, self.limits.connection, tls, self._opened, self._gone
+        )
         self.connections.add(connection)
         connection.start()
 
@@ -145,8 +153,10 @@
 
     def _opened(self, stream: Stream, headers: Headers, ended: bool) -> Owner:
         try:
-            if sum(len(name) + len(value) + 32 for name,
-                   value in headers) > self.limits.connection.header_bytes:
+            if (
+                sum(len(name) + len(value) + 32 for name, value in headers)
+                > self.limits.connection.header_bytes
+            ):
                 raise BadHead(Status.RESOURCE_EXHAUSTED, "the headers are too large")
             head = read_head(headers)
             if head.path in PATHS:
@@ -170,16 +180,22 @@
             self._figures.ended(target.class_name, Ended.DEFERRED)
             stream.send_headers(failure(Status.UNAVAILABLE, "full: it has not run", FULL_ADVICE), end=True)
             return Ignored(stream)
-        call = Call(host, stream, head, self.limits.replay, self.ledger, self.limits.message_bytes,
-                    self._over)
+        call = Call(
+            host, stream, head, self.limits.replay, self.ledger, self.limits.message_bytes, self._over
+        )
         call.replay.ended = ended
         self.calls.add(call)
         stream.owner = call
         request = Request(
-            txn=f"{self.name}-{next(_NUMBERS)}", job_class=target.job_class,
+            txn=f"{self.name}-{next(_NUMBERS)}",
+            job_class=target.job_class,
             remaining=target.give_up if head.timeout is None else head.timeout,
-            method=b"POST", target=head.path,
-            headers=[], body=b"", is_repeat=head.attempts > 0, call=call,
+            method=b"POST",
+            target=head.path,
+            headers=[],
+            body=b"",
+            is_repeat=head.attempts > 0,
+            call=call,
         )
         job = host.submit(request, call.reply)
         call.job = job
@@ -195,9 +211,9 @@
             if len(self._unread) == 1:
                 self._loop.call_at(self._loop.now() + LOOK, self._look)
         if log.debugging:  # guards the hot path: a line that nobody reads costs as much as a head
-            logger.bind(event="call.ended", path=call.head.path.decode(errors="replace"),
-                        status=status.name).debug("call ended")
-
+            logger.bind(
+                event="call.ended", path=call.head.path.decode(errors="replace"), status=status.name
+            ).debug("call ended")
 
     def _look(self) -> None:
         """Forget the answers that have been read, end those that nobody reads.
--- a/pulleyroute/grpc/head.py
+++ b/pulleyroute/grpc/head.py
@@ -17,10 +17,19 @@
 _UNITS = {b"H": 3_600_000_000, b"M": 60_000_000, b"S": 1_000_000, b"m": 1000, b"u": 1}
 _PATH = re.compile(rb"/([^/]+(?:/[^/]+)*)/([^/]+)")
 # Of the connection, not of the call (RFC 9110, 7.6.1), and what is written anew for the next hop.
-_HOP = frozenset((
-    b"connection", b"keep-alive", b"proxy-connection", b"transfer-encoding", b"upgrade", b"te", b"host",
-    b"content-length", b"expect",
-))
+_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"transfer-encoding",
+        b"upgrade",
+        b"te",
+        b"host",
+        b"content-length",
+        b"expect",
+    )
+)
 _OWN = frozenset((b"grpc-timeout", b"grpc-previous-rpc-attempts"))
 _SECRET = frozenset((b"authorization", b"cookie", b"proxy-authorization"))
 
@@ -105,8 +114,12 @@
     `left` is in microseconds. `te: trailers` is due on every hop.
     """
     headers: Headers = [
-        (b":method", b"POST"), (b":scheme", scheme), (b":path", head.path), (b":authority", head.authority),
-        (b"te", b"trailers"), (b"grpc-timeout", write_timeout(left)),
+        (b":method", b"POST"),
+        (b":scheme", scheme),
+        (b":path", head.path),
+        (b":authority", head.authority),
+        (b"te", b"trailers"),
+        (b"grpc-timeout", write_timeout(left)),
     ]
     if attempts:
         headers.append((b"grpc-previous-rpc-attempts", b"%d" % attempts))
@@ -117,8 +130,8 @@
 def sealed(headers: Headers) -> Headers:
     """The same, with secrets kept out of the compression's tables (RFC 7541, 7.1.3)."""
     return [
-        (name, value, True) if name in _SECRET else (name,
-                                                     value) for name, value in headers  # type: ignore[misc]
+        (name, value, True) if name in _SECRET else (name, value)  # type: ignore[misc]
+        for name, value in headers
     ]
 
 
--- a/pulleyroute/grpc/messages.py
+++ b/pulleyroute/grpc/messages.py
@@ -22,7 +22,8 @@
 
 def _types() -> tuple[Any, Any, Any]:
     file = descriptor_pb2.FileDescriptorProto(
-        name="pulleyroute/messages.proto", package="pulleyroute", syntax="proto3")
+        name="pulleyroute/messages.proto", package="pulleyroute", syntax="proto3"
+    )
 
     def add(name: str, fields: list[tuple[str, int, int]]) -> Any:
         kind = file.message_type.add(name=name)
@@ -32,21 +33,34 @@
 
     add("HealthCheckRequest", [("service", 1, _STRING)])
     add("HealthCheckResponse", [("status", 1, _INT32)])
-    report = add("OrcaLoadReport", [
-        ("cpu_utilization", 1, _DOUBLE), ("mem_utilization", 2, _DOUBLE), ("rps_fractional", 6, _DOUBLE),
-        ("eps", 7, _DOUBLE), ("application_utilization", 9, _DOUBLE),
-    ])
+    report = add(
+        "OrcaLoadReport",
+        [
+            ("cpu_utilization", 1, _DOUBLE),
+            ("mem_utilization", 2, _DOUBLE),
+            ("rps_fractional", 6, _DOUBLE),
+            ("eps", 7, _DOUBLE),
+            ("application_utilization", 9, _DOUBLE),
+        ],
+    )
     for name, number in (("request_cost", 4), ("utilization", 5), ("named_metrics", 8)):
         entry = report.nested_type.add(name=name.title().replace("_", "") + "Entry")
         entry.options.map_entry = True
         entry.field.add(name="key", number=1, type=_STRING, label=1)
         entry.field.add(name="value", number=2, type=_DOUBLE, label=1)
-        report.field.add(name=name, number=number, type=_MESSAGE, label=3,
-                         type_name=f".pulleyroute.OrcaLoadReport.{entry.name}")
+        report.field.add(
+            name=name,
+            number=number,
+            type=_MESSAGE,
+            label=3,
+            type_name=f".pulleyroute.OrcaLoadReport.{entry.name}",
+        )
     pool = descriptor_pool.DescriptorPool()
     pool.Add(file) if hasattr(pool, "Add") else pool.AddSerializedFile(file.SerializeToString())
-    found = [pool.FindMessageTypeByName(f"pulleyroute.{name}")
-             for name in ("HealthCheckRequest", "HealthCheckResponse", "OrcaLoadReport")]
+    found = [
+        pool.FindMessageTypeByName(f"pulleyroute.{name}")
+        for name in ("HealthCheckRequest", "HealthCheckResponse", "OrcaLoadReport")
+    ]
     asked, answered, load = (message_factory.GetMessageClass(each) for each in found)
     return asked, answered, load
 
@@ -98,13 +112,18 @@
                     values[str(name)] = float(value)
     except (ValueError, AttributeError, TypeError, RecursionError, message.DecodeError):
         return None  # a load report is advice: an unreadable one changes nothing
-    values = {name.removeprefix("named_metrics."): value for name,
-              value in values.items() if math.isfinite(value)}
+    values = {
+        name.removeprefix("named_metrics."): value for name, value in values.items() if math.isfinite(value)
+    }
     if not values:
         return None
     report = LoadReport(
-        in_hand=values.get("inflight"), queued=values.get("queue"), rate=values.get("rps_fractional"),
-        errors=values.get("eps"), busy=values.get("cpu_utilization"))
+        in_hand=values.get("inflight"),
+        queued=values.get("queue"),
+        rate=values.get("rps_fractional"),
+        errors=values.get("eps"),
+        busy=values.get("cpu_utilization"),
+    )
     if "free_slots" in values:
         report.free_slots = values["free_slots"]
     else:
@@ -119,7 +138,9 @@
 
 
 def _from_message(report: Any) -> dict[str, float]:
-    values = {name: getattr(report, name) for name in (
-        "cpu_utilization", "mem_utilization", "rps_fractional", "eps", "application_utilization")}
+    values = {
+        name: getattr(report, name)
+        for name in ("cpu_utilization", "mem_utilization", "rps_fractional", "eps", "application_utilization")
+    }
     values = {name: value for name, value in values.items() if value}
     return {**values, **report.named_metrics}
--- a/pulleyroute/grpc/meter.py
+++ b/pulleyroute/grpc/meter.py
@@ -29,14 +29,14 @@
                 return True
             if self._prefix or size - at < 5:
                 need = 5 - len(self._prefix)
-                self._prefix += data[at:at + need]
+                self._prefix += data[at : at + need]
                 at += need
                 if len(self._prefix) < 5:
                     return True
                 length = int.from_bytes(self._prefix[1:], "big")
                 self._prefix = b""
             else:
-                length = int.from_bytes(data[at + 1:at + 5], "big")
+                length = int.from_bytes(data[at + 1 : at + 5], "big")
                 at += 5
             if self._most and length > self._most:
                 return False
--- a/pulleyroute/grpc/routes.py
+++ b/pulleyroute/grpc/routes.py
@@ -44,8 +44,9 @@
             if match.prefix is not None:
                 _put(prefixes, match.prefix.encode(), target, f"prefix {match.prefix!r}")
             elif match.method:
-                _put(self._methods, (service, match.method.encode()), target,
-                     f"{match.service}/{match.method}")
+                _put(
+                    self._methods, (service, match.method.encode()), target, f"{match.service}/{match.method}"
+                )
             else:
                 _put(self._services, service, target, match.service)
         self._prefixes = sorted(prefixes.items(), key=lambda item: -len(item[0]))
@@ -63,8 +64,11 @@
 
     def serves(self, service: bytes) -> bool:
         """Whether some method of a service may be routed."""
-        return (service in self._services or any(name == service for name, _ in self._methods)
-                or any(service.startswith(prefix) for prefix, _ in self._prefixes))
+        return (
+            service in self._services
+            or any(name == service for name, _ in self._methods)
+            or any(service.startswith(prefix) for prefix, _ in self._prefixes)
+        )
 
 
 K = TypeVar("K")
--- a/pulleyroute/grpc/status.py
+++ b/pulleyroute/grpc/status.py
@@ -76,9 +76,14 @@
 MAY_NACK = (Status.UNAVAILABLE, Status.RESOURCE_EXHAUSTED)
 
 _FROM_HTTP = {
-    400: Status.INTERNAL, 401: Status.UNAUTHENTICATED, 403: Status.PERMISSION_DENIED,
+    400: Status.INTERNAL,
+    401: Status.UNAUTHENTICATED,
+    403: Status.PERMISSION_DENIED,
     404: Status.UNIMPLEMENTED,
-    429: Status.UNAVAILABLE, 502: Status.UNAVAILABLE, 503: Status.UNAVAILABLE, 504: Status.UNAVAILABLE,
+    429: Status.UNAVAILABLE,
+    502: Status.UNAVAILABLE,
+    503: Status.UNAVAILABLE,
+    504: Status.UNAVAILABLE,
 }
 _FROM_CODE = {
     0x7: Status.UNAVAILABLE,  # REFUSED_STREAM
@@ -113,7 +118,8 @@
     """A status message for `grpc-message`: percent-encoded UTF-8."""
     return b"".join(
         bytes((byte,)) if 0x20 <= byte <= 0x7E and byte != 0x25 else b"%%%02X" % byte
-        for byte in text.encode(errors="replace"))
+        for byte in text.encode(errors="replace")
+    )
 
 
 def unquote(text: bytes) -> str:
--- a/pulleyroute/interface.py
+++ b/pulleyroute/interface.py
@@ -248,8 +248,17 @@
 
 
 Event = (
-    JobArrived | AttemptStarted | AttemptProgress | StreamBegan | AttemptEnded | ProbeEnded
-    | WorkerList | TimerFired | JobExpired | PeerMessage | SettingsChanged
+    JobArrived
+    | AttemptStarted
+    | AttemptProgress
+    | StreamBegan
+    | AttemptEnded
+    | ProbeEnded
+    | WorkerList
+    | TimerFired
+    | JobExpired
+    | PeerMessage
+    | SettingsChanged
 )
 
 # Actions
@@ -322,6 +331,4 @@
     text: str
 
 
-Action = (
-    Push | Refuse | Fail | Cancel | Probe | SetTimer | Subscribe | FetchList | CloseIdle | Tell | Log
-)
+Action = Push | Refuse | Fail | Cancel | Probe | SetTimer | Subscribe | FetchList | CloseIdle | Tell | Log
--- a/pulleyroute/lab/arrivals.py
+++ b/pulleyroute/lab/arrivals.py
@@ -19,7 +19,8 @@
 
 _PIECE = re.compile(
     r"(?:(?P<rate>[\d.]+)(?:-(?P<to>[\d.]+))?(?:~(?P<swing>[\d.]+)@(?P<period>[\d.]+)s)?/(?P<span>[\d.]+)s"
-    r"|burst:(?P<burst>\d+))")
+    r"|burst:(?P<burst>\d+))"
+)
 
 
 class BadShape(ValueError):
@@ -77,15 +78,22 @@
     for part in text.replace(" ", "").split(","):
         match = _PIECE.fullmatch(part)
         if match is None:
-            raise BadShape(f"{part!r} is no piece of a shape: expected 100/10s, 10-200/30s, 100~40@5s/60s "
-                           "or burst:500")
+            raise BadShape(
+                f"{part!r} is no piece of a shape: expected 100/10s, 10-200/30s, 100~40@5s/60s "
+                "or burst:500"
+            )
         if match["burst"]:
             pieces.append(Piece(burst=int(match["burst"])))
             continue
         try:
             rate, span = float(match["rate"]), float(match["span"])
-            piece = Piece(rate, float(match["to"] or rate), span, float(match["swing"] or 0),
-                          float(match["period"] or 1))
+            piece = Piece(
+                rate,
+                float(match["to"] or rate),
+                span,
+                float(match["swing"] or 0),
+                float(match["period"] or 1),
+            )
         except ValueError:
             raise BadShape(f"{part!r} has a number that is none") from None
         if span <= 0 or piece.period <= 0:
--- a/pulleyroute/lab/campaign.py
+++ b/pulleyroute/lab/campaign.py
@@ -88,8 +88,9 @@
         self._asked.endings.append("status")
         self._asked.ended_at = self._loop.now()
         self._asked.status = int(seen.get(b"grpc-status", b"-1"))
-        self._asked.refused = (self._asked.status == UNAVAILABLE and b"grpc-retry-pushback-ms" in seen
-                               and b"x-box" not in seen)
+        self._asked.refused = (
+            self._asked.status == UNAVAILABLE and b"grpc-retry-pushback-ms" in seen and b"x-box" not in seen
+        )
 
     def sent(self, count: int) -> None: ...
 
@@ -112,21 +113,40 @@
         self._late: list[str] = []  # new work to drained boxes
         self._box_faults = box_faults
         self._buffers = BufferPool()
-        classes = [JobClass("safe", Effect.SAFE, SECOND, 10 * SECOND, 1.0),
-                   JobClass("unsafe", Effect.UNSAFE, SECOND, 10 * SECOND, 1.0)]
-        self.settings = Settings(classes, 1, 0, 4, probes=True, max_retry_after=2 * SECOND,
-                                 drain_grace=1_500_000,
-                                 report_source=ReportSource.ANSWERS)
+        classes = [
+            JobClass("safe", Effect.SAFE, SECOND, 10 * SECOND, 1.0),
+            JobClass("unsafe", Effect.UNSAFE, SECOND, 10 * SECOND, 1.0),
+        ]
+        self.settings = Settings(
+            classes,
+            1,
+            0,
+            4,
+            probes=True,
+            max_retry_after=2 * SECOND,
+            drain_grace=1_500_000,
+            report_source=ReportSource.ANSWERS,
+        )
         self.boxes = [FaultyBox(self.loop, f"b-{i}", self.script) for i in range(boxes)]
         for box in self.boxes:
             box.start()
         self.discovery = DiscoveryClient(self.loop, self._buffers, ("127.0.0.1", 1), self.settings, 0)
-        self.back = Calls(self.loop, self._buffers, self.discovery, self.settings,
-                          Limits(idle=0, ping_after=5 * SECOND, ping_patience=2 * SECOND), 50)
+        self.back = Calls(
+            self.loop,
+            self._buffers,
+            self.discovery,
+            self.settings,
+            Limits(idle=0, ping_after=5 * SECOND, ping_patience=2 * SECOND),
+            50,
+        )
         self.host = self.back.host = Host(self.loop, self.settings, seed, self.discovery, self.back)
         self._list()
-        routes = Routes([(Match("s.Safe"), Target(self.host, 0, 10 * SECOND)),
-                         (Match("s.Unsafe"), Target(self.host, 1, 10 * SECOND))])
+        routes = Routes(
+            [
+                (Match("s.Safe"), Target(self.host, 0, 10 * SECOND)),
+                (Match("s.Unsafe"), Target(self.host, 1, 10 * SECOND)),
+            ]
+        )
         self.front = Front(self.loop, self._buffers, routes, FrontLimits(), Health(lambda name: True))
         self.front.listen(("127.0.0.1", 0))
 
@@ -135,9 +155,21 @@
         return draw(random.Random(f"{self.seed}/{request}/{attempts}"))
 
     def _list(self) -> None:
-        self.discovery.load_known({"revision": 1, "complete": True, "members": [
-            {"id": box.name, "host_port": "{}:{}".format(*box.address), "up_since_ms": 0,
-             "phase": "leaving" if box.name in self.drained else "active"} for box in self.boxes]})
+        self.discovery.load_known(
+            {
+                "revision": 1,
+                "complete": True,
+                "members": [
+                    {
+                        "id": box.name,
+                        "host_port": "{}:{}".format(*box.address),
+                        "up_since_ms": 0,
+                        "phase": "leaving" if box.name in self.drained else "active",
+                    }
+                    for box in self.boxes
+                ],
+            }
+        )
 
     def run(self) -> Outcome:
         """Play it to its end, and judge."""
@@ -153,9 +185,12 @@
             self.loop.call_at(at, partial(self._call, clients, which, asked, size, pieces, cancel))
             if self._box_faults and i % 150 == 149:
                 self.loop.call_at(at, partial(self._trouble, i))
-        done = self.loop.run_until(lambda: len(self.asked) == self.count and all(
-            each.began and (each.endings or each.cancelled) for each in self.asked) and not self.back.open,
-            (at - self.loop.now()) + 60 * SECOND)
+        done = self.loop.run_until(
+            lambda: len(self.asked) == self.count
+            and all(each.began and (each.endings or each.cancelled) for each in self.asked)
+            and not self.back.open,
+            (at - self.loop.now()) + 60 * SECOND,
+        )
         self.loop.run_until(lambda: False, 2 * SECOND)
         return self._judge(done)
 
@@ -167,17 +202,33 @@
         client.start()
         return client
 
-    def _call(self, clients: list[Http2], which: int, asked: Asked, size: tuple[int, int], pieces: float,
-              cancel: int) -> None:
+    def _call(
+        self,
+        clients: list[Http2],
+        which: int,
+        asked: Asked,
+        size: tuple[int, int],
+        pieces: float,
+        cancel: int,
+    ) -> None:
         if clients[which].closed:
             clients[which] = self._connect()
         asked.began = self.loop.now()
         owner = _Client(self.loop, asked)
         path = b"/s.Unsafe/Do" if asked.unsafe else b"/s.Safe/Do"
-        stream = owner.stream = clients[which].request([
-            (b":method", b"POST"), (b":scheme", b"http"), (b":path", path), (b":authority", b"x"),
-            (b"te", b"trailers"), (b"content-type", b"application/grpc"), (b"x-id", asked.id.encode()),
-            (b"grpc-timeout", b"%du" % asked.timeout)], owner)
+        stream = owner.stream = clients[which].request(
+            [
+                (b":method", b"POST"),
+                (b":scheme", b"http"),
+                (b":path", path),
+                (b":authority", b"x"),
+                (b"te", b"trailers"),
+                (b"content-type", b"application/grpc"),
+                (b"x-id", asked.id.encode()),
+                (b"grpc-timeout", b"%du" % asked.timeout),
+            ],
+            owner,
+        )
         length, count = size
         message = b"\0" + length.to_bytes(4, "big") + bytes(length)
         for i in range(count):
@@ -240,17 +291,27 @@
         for asked in self.asked:
             runs = sorted(by_call[asked.id], key=lambda taken: taken.at)
             broken += [f"{asked.id}: {text}; {self.history(asked, runs)}" for text in judge(asked, runs)]
-        return Outcome(self.seed, self.count, Counter(a.status for a in self.asked if not a.cancelled),
-                       sum(len(runs) for runs in by_call.values()),
-                       Counter(taken.act.ending for runs in by_call.values() for taken in runs), broken)
+        return Outcome(
+            self.seed,
+            self.count,
+            Counter(a.status for a in self.asked if not a.cancelled),
+            sum(len(runs) for runs in by_call.values()),
+            Counter(taken.act.ending for runs in by_call.values() for taken in runs),
+            broken,
+        )
 
     @staticmethod
     def history(asked: Asked, runs: list[Taken]) -> str:
         """All that happened to a call, in one line."""
-        parts = [f"{taken.box} at {(taken.at - asked.began) / 1e6:+.3f} s {taken.act}, told {taken.told}, "
-                 f"dropped {taken.dropped}, given up {taken.given_up}" for taken in runs]
-        return (f"{'unsafe' if asked.unsafe else 'safe'}, {asked.timeout / 1e6} s, endings {asked.endings}, "
-                f"status {asked.status}, cancelled {asked.cancelled}: {'; '.join(parts) or 'no attempt'}")
+        parts = [
+            f"{taken.box} at {(taken.at - asked.began) / 1e6:+.3f} s {taken.act}, told {taken.told}, "
+            f"dropped {taken.dropped}, given up {taken.given_up}"
+            for taken in runs
+        ]
+        return (
+            f"{'unsafe' if asked.unsafe else 'safe'}, {asked.timeout / 1e6} s, endings {asked.endings}, "
+            f"status {asked.status}, cancelled {asked.cancelled}: {'; '.join(parts) or 'no attempt'}"
+        )
 
 
 def judge(asked: Asked, runs: list[Taken]) -> list[str]:
@@ -262,8 +323,11 @@
     if len(runs) > 4:
         found.append(f"{len(runs)} attempts")
     if asked.cancelled:
-        return found + [f"cancelled, and {taken.box} was not told" for taken in runs
-                        if not taken.told and taken.given_up is None]
+        return found + [
+            f"cancelled, and {taken.box} was not told"
+            for taken in runs
+            if not taken.told and taken.given_up is None
+        ]
     if asked.endings != ["status"]:
         return [*found, f"had the endings {asked.endings}"]
     for earlier, later in itertools.pairwise(runs):
@@ -273,11 +337,15 @@
         found.append("was answered after its deadline")
     if asked.status not in expected(asked, runs):
         found.append(f"status {asked.status}, expected one of {sorted(expected(asked, runs))}")
-    if asked.status == 0 and runs and asked.messages != b"".join(
-            b"\0\0\0\0\1%c" % (i % 256) for i in range(runs[-1].act.messages)):
+    if (
+        asked.status == 0
+        and runs
+        and asked.messages != b"".join(b"\0\0\0\0\1%c" % (i % 256) for i in range(runs[-1].act.messages))
+    ):
         found.append("the messages differ from those sent")
-    found += [f"ended, and {taken.box} was not told" for taken in runs
-              if not taken.told and taken.given_up is None]
+    found += [
+        f"ended, and {taken.box} was not told" for taken in runs if not taken.told and taken.given_up is None
+    ]
     return found
 
 
--- a/pulleyroute/lab/demo.py
+++ b/pulleyroute/lab/demo.py
@@ -27,8 +27,15 @@
 from pulleyroute.lab.verdict import verdict
 
 WAIT = 5  # seconds that a client waits
-KINDS = {name: Kind(effect, WAIT * 1_000_000) for name, effect in (
-    ("balance-check", "safe"), ("card-charge", "unsafe"), ("shop.Look", "safe"), ("shop.Charges", "unsafe"))}
+KINDS = {
+    name: Kind(effect, WAIT * 1_000_000)
+    for name, effect in (
+        ("balance-check", "safe"),
+        ("card-charge", "unsafe"),
+        ("shop.Look", "safe"),
+        ("shop.Charges", "unsafe"),
+    )
+}
 CONFIG = """
 name       = "demo"
 management = "{door}"
@@ -141,12 +148,17 @@
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "demo.hcl"
             instances = "".join(
-                f'  instance "{app.name}" {{\n    address = "{app.address}"\n  }}\n' for app in apps)
-            path.write_text(CONFIG.format(jobs=jobs, calls=calls, discovery=discovery.address, door=door,
-                                          instances=instances))
+                f'  instance "{app.name}" {{\n    address = "{app.address}"\n  }}\n' for app in apps
+            )
+            path.write_text(
+                CONFIG.format(
+                    jobs=jobs, calls=calls, discovery=discovery.address, door=door, instances=instances
+                )
+            )
             log = (Path(folder) / "log").open("wb")
             program = subprocess.Popen(
-                [sys.executable, "-m", "pulleyroute.cli", "serve", "--config", str(path)], stderr=log)
+                [sys.executable, "-m", "pulleyroute.cli", "serve", "--config", str(path)], stderr=log
+            )
             try:
                 self._await(program, jobs, Path(folder) / "log")
                 result = self._play(jobs, calls, discovery, boxes, apps, tick)
@@ -182,8 +194,15 @@
             time.sleep(0.05)
         raise RuntimeError("the program did not become ready")
 
-    def _play(self, jobs: str, calls: str, discovery: Discovery, boxes: list[JobBox], apps: list[CallBox],
-              tick: Callable[[float, int], None]) -> Result:
+    def _play(
+        self,
+        jobs: str,
+        calls: str,
+        discovery: Discovery,
+        boxes: list[JobBox],
+        apps: list[CallBox],
+        tick: Callable[[float, int], None],
+    ) -> Result:
         channel = grpc.insecure_channel(calls)
         began = time.monotonic()
         count = int(self.rate * self.seconds)
@@ -207,9 +226,9 @@
             self.book.ask(request, kind)
             self.rows[kind].asked += 1
             work = self._call if kind.startswith("shop.") else self._job
-            thread = threading.Thread(target=work, args=(channel if work == self._call else jobs, request,
-                                                         kind),
-                                      daemon=True)
+            thread = threading.Thread(
+                target=work, args=(channel if work == self._call else jobs, request, kind), daemon=True
+            )
             thread.start()
             threads.append(thread)
         for thread in threads:
@@ -218,9 +237,12 @@
         seconds = time.monotonic() - began
         tick(1.0, len(self.book.answers))
         attempts = Counter(self.kinds[run.request] for run in self.book.runs)
-        return Result(self.rows, attempts,
-                      [f"{each.rule.value}: {each.text}" for each in verdict(self.book, KINDS)],
-                      seconds)
+        return Result(
+            self.rows,
+            attempts,
+            [f"{each.rule.value}: {each.text}" for each in verdict(self.book, KINDS)],
+            seconds,
+        )
 
     def _done(self, request: str, kind: str, ending: str, began: float) -> None:
         self.book.answered(request, ending)
@@ -235,8 +257,9 @@
         connection = http.client.HTTPConnection(host, int(port), timeout=30)
         ending = "failed"
         try:
-            connection.request("POST", f"/{kind}", b"{}", {"X-Txn": request,
-                                                           "X-Remaining-Ms": str(WAIT * 1000)})
+            connection.request(
+                "POST", f"/{kind}", b"{}", {"X-Txn": request, "X-Remaining-Ms": str(WAIT * 1000)}
+            )
             status = connection.getresponse().status
             ending = ENDINGS.get(status, "failed")
         except (OSError, http.client.HTTPException):
--- a/pulleyroute/lab/fleet/campaign.py
+++ b/pulleyroute/lab/fleet/campaign.py
@@ -33,8 +33,9 @@
     log: list[str] = field(default_factory=list)
 
 
-def play(schedule: Schedule, program: list[str] | None = None, agreement: bool = True,
-         keep: Path | None = None) -> Outcome:
+def play(
+    schedule: Schedule, program: list[str] | None = None, agreement: bool = True, keep: Path | None = None
+) -> Outcome:
     """One run in this process. `keep`: a folder that stays, with the logs of all processes."""
     errors: list[str] = []
     loop = Loop(lambda name, exc: errors.append(f"the rig itself: {name}: {exc!r}"))
@@ -50,6 +51,7 @@
                 errors.append(f"the rig itself: {exc!r}")
             finally:
                 loop.stop()
+
         try:
             loop.spawn(whole(), "run")
             loop.run()
@@ -62,15 +64,26 @@
 def _outcome(rig: Rig, schedule: Schedule, broken: list[str]) -> Outcome:
     saw = rig.saw
     planned = [each for each in every_outage(saw) if each.planned]
-    most = max((sum(1 for other in planned if other.start <= each.start <= other.end) for each in planned),
-               default=0)
+    most = max(
+        (sum(1 for other in planned if other.start <= each.start <= other.end) for each in planned), default=0
+    )
     endings = dict(Counter(request.ending for request in saw.requests))
-    return Outcome(schedule.seed, schedule.faults, broken, len(planned), most, len(saw.drained),
-                   f"{saw.released} {saw.ended}".strip(), endings, rig.log)
-
-
-def campaign(kind: str, seed: int, runs: int, jobs: int, tell: Callable[[Outcome], None],
-             out: Path | None = None) -> list[Outcome]:
+    return Outcome(
+        schedule.seed,
+        schedule.faults,
+        broken,
+        len(planned),
+        most,
+        len(saw.drained),
+        f"{saw.released} {saw.ended}".strip(),
+        endings,
+        rig.log,
+    )
+
+
+def campaign(
+    kind: str, seed: int, runs: int, jobs: int, tell: Callable[[Outcome], None], out: Path | None = None
+) -> list[Outcome]:
     """So many runs from a seed on, `jobs` of them side by side, each in a process of its own."""
     waiting = list(range(seed, seed + runs))
     going: list[tuple[int, subprocess.Popen[bytes]]] = []
@@ -78,9 +91,22 @@
     while waiting or going:
         while waiting and len(going) < jobs:
             each = waiting.pop(0)
-            going.append((each, subprocess.Popen(
-                [sys.executable, "-m", "pulleyroute.lab.fleet.campaign", kind, str(each),
-                 *([str(out / f"run-{each}")] if out is not None else [])], stdout=subprocess.PIPE)))
+            going.append(
+                (
+                    each,
+                    subprocess.Popen(
+                        [
+                            sys.executable,
+                            "-m",
+                            "pulleyroute.lab.fleet.campaign",
+                            kind,
+                            str(each),
+                            *([str(out / f"run-{each}")] if out is not None else []),
+                        ],
+                        stdout=subprocess.PIPE,
+                    ),
+                )
+            )
         number, process = going.pop(0)
         data, _ = process.communicate()
         try:
--- a/pulleyroute/lab/fleet/checker.py
+++ b/pulleyroute/lab/fleet/checker.py
@@ -76,8 +76,9 @@
     restart_status: int
 
 
-def outages(member: int, looks: Iterable[Look], hurt: list[int], stopped: list[tuple[int, int]]
-            ) -> list[Outage]:
+def outages(
+    member: int, looks: Iterable[Look], hurt: list[int], stopped: list[tuple[int, int]]
+) -> list[Outage]:
     """When a member surely was out. Before it was ready for the first time it is nobody's loss."""
     found: list[Outage] = []
     ready: Look | None = None
@@ -88,6 +89,7 @@
         if first is not None and last is not None and last.asked > first.answered and ready is not None:
             cause = any(ready.asked <= at <= first.answered for at in hurt)
             found.append(Outage(member, first.answered, last.asked, not cause))
+
     for look in looks:
         if look.ready:
             over()
@@ -106,8 +108,11 @@
 
 def every_outage(saw: Saw) -> list[Outage]:
     """Of all members."""
-    return [outage for member, looks in saw.looks.items() for outage in outages(
-        member, looks, saw.hurt.get(member, []), saw.stopped.get(member, []))]
+    return [
+        outage
+        for member, looks in saw.looks.items()
+        for outage in outages(member, looks, saw.hurt.get(member, []), saw.stopped.get(member, []))
+    ]
 
 
 def over_limit(saw: Saw, limits: Limits) -> list[str]:
@@ -118,17 +123,22 @@
         if not gone.planned:
             continue
         at = gone.start
-        others = {other.member for other in every
-                  if other.member != gone.member and _counts(other, at, saw, limits)}
-        if any(other.member == gone.member and not other.planned and _counts(other, at, saw, limits)
-               for other in every):
+        others = {
+            other.member for other in every if other.member != gone.member and _counts(other, at, saw, limits)
+        }
+        if any(
+            other.member == gone.member and not other.planned and _counts(other, at, saw, limits)
+            for other in every
+        ):
             continue  # it was out already, and its going changes no count
         home = limits.zones[gone.member]
         zone = {other for other in others if limits.zones[other] == home}
         for where, out, most in (("the fleet", others, limits.fleet), (home, zone, limits.zone)):
             if len(out) + 1 > most:
-                broken.append(f"at {at}: member {gone.member} went out beside {sorted(out)} in {where}, "
-                              f"where {most} may be")
+                broken.append(
+                    f"at {at}: member {gone.member} went out beside {sorted(out)} in {where}, "
+                    f"where {most} may be"
+                )
     return broken
 
 
@@ -158,8 +168,10 @@
         if each.ending != "lost":
             continue
         hurt = any(each.at - GAP <= at <= each.answered for at in saw.hurt.get(each.member, []))
-        away = any(start <= each.answered and end >= each.at for start, end in (
-            *saw.stopped.get(each.member, []), *saw.cut.get(each.member, [])))
+        away = any(
+            start <= each.answered and end >= each.at
+            for start, end in (*saw.stopped.get(each.member, []), *saw.cut.get(each.member, []))
+        )
         if not hurt and not away:
             broken.append(f"{each.txn} to member {each.member} at {each.at} had no answer by {each.answered}")
     return broken
@@ -178,8 +190,9 @@
                 continue
             if any(born - lease <= since <= born + lease + SLACK for born in saw.born):
                 continue
-            broken.append(f"{txn} ran at {box} from {since} to {until}, "
-                          f"told as drained from {start} to {end}")
+            broken.append(
+                f"{txn} ran at {box} from {since} to {until}, " f"told as drained from {start} to {end}"
+            )
     return broken
 
 
@@ -197,7 +210,10 @@
     """Every broken promise, as a line each."""
     broken = over_limit(saw, limits) + jobs(saw, unsafe) + drained(saw, limits.lease)
     broken += releases(saw)
-    broken += [f"member {member} ended with status {status}" for member, status, hurt in saw.exits
-               if not hurt and status != limits.restart_status]
+    broken += [
+        f"member {member} ended with status {status}"
+        for member, status, hurt in saw.exits
+        if not hurt and status != limits.restart_status
+    ]
     broken += [f"member {member} was left out for ever" for member in saw.left_out]
     return broken
--- a/pulleyroute/lab/fleet/rig.py
+++ b/pulleyroute/lab/fleet/rig.py
@@ -135,8 +135,14 @@
 class Rig:
     """One run; owns all processes, links and what was seen."""
 
-    def __init__(self, loop: Loop, schedule: Schedule, folder: Path, program: list[str] | None = None,
-                 agreement: bool = True) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        schedule: Schedule,
+        folder: Path,
+        program: list[str] | None = None,
+        agreement: bool = True,
+    ) -> None:
         """`program`: what a dispatcher is started with; `agreement` False leaves the fleet block out."""
         self.loop, self.schedule, self.folder = loop, schedule, folder
         self._shape = schedule.shape
@@ -162,7 +168,9 @@
         self._hand = self._link(self._store_port)
         self.members = [
             Member(number, port, self._link(port), self._link(port), self._link(self._store_port))
-            for number in range(self._shape.members) for port in [PORTS + 1 + number]]
+            for number in range(self._shape.members)
+            for port in [PORTS + 1 + number]
+        ]
         client = Client(loop, self._pool, [self._hand.address], schedule.seed)
         self.operator = Operator(loop, client, GROUP, "operator", schedule.seed)
 
@@ -179,16 +187,29 @@
     def _process(self, command: list[str], log: str, says: bool = False) -> subprocess.Popen[bytes]:
         """A process with its errors in a file; `says`: its output is read here."""
         with (self.folder / log).open("ab") as err:
-            return subprocess.Popen(command, stdout=subprocess.PIPE if says else None, stderr=err,
-                                    preexec_fn=_with_parent)
+            return subprocess.Popen(
+                command, stdout=subprocess.PIPE if says else None, stderr=err, preexec_fn=_with_parent
+            )
 
     def _start_store(self) -> None:
-        self._store = self._process([*EMULATE, "store", f"{self.host}:{self._store_port}", "--log",
-                                     str(self.folder / "store.log")], "store.err", says=True)
+        self._store = self._process(
+            [*EMULATE, "store", f"{self.host}:{self._store_port}", "--log", str(self.folder / "store.log")],
+            "store.err",
+            says=True,
+        )
 
     def _start_runner(self, number: int) -> list[tuple[str, int]]:
-        command = [*EMULATE, "runner", f"r{number}", "--book", str(self.folder / "book"),
-                   "--seed", str(self.schedule.seed * 100 + number), "--mean-ms", str(self._shape.mean_ms)]
+        command = [
+            *EMULATE,
+            "runner",
+            f"r{number}",
+            "--book",
+            str(self.folder / "book"),
+            "--seed",
+            str(self.schedule.seed * 100 + number),
+            "--mean-ms",
+            str(self._shape.mean_ms),
+        ]
         for member in self.members:
             command += ["--callback", "{}:{}".format(*member.callbacks.address)]
         process = self._process(command, "runners.err", says=True)
@@ -199,16 +220,37 @@
     def _configure(self, member: Member) -> Path:
         shape, works = self._shape, not member.version.endswith("errs")
         places = [(link.address[0], link.address[1] if works else 1) for link in member.runners]
-        instances = "".join(f'  instance "r{i}" {{\n    address = "{host}:{port}"\n  }}\n'
-                            for i, (host, port) in enumerate(places))
-        fleet = FLEET.format(
-            store="{}:{}".format(*member.store.address), group=GROUP, zone=shape.zone(member.number),
-            version=member.version, members=shape.members, lease=shape.lease // SECOND, out=shape.out,
-            out_zone=shape.out_zone, least=shape.least, status=STATUS,
-            version_file=self.folder / f"{member.name}.version") if self._agreement else ""
+        instances = "".join(
+            f'  instance "r{i}" {{\n    address = "{host}:{port}"\n  }}\n'
+            for i, (host, port) in enumerate(places)
+        )
+        fleet = (
+            FLEET.format(
+                store="{}:{}".format(*member.store.address),
+                group=GROUP,
+                zone=shape.zone(member.number),
+                version=member.version,
+                members=shape.members,
+                lease=shape.lease // SECOND,
+                out=shape.out,
+                out_zone=shape.out_zone,
+                least=shape.least,
+                status=STATUS,
+                version_file=self.folder / f"{member.name}.version",
+            )
+            if self._agreement
+            else ""
+        )
         path = self.folder / f"{member.name}.hcl"
-        text = CONFIG.format(name=member.name, host=self.host, port=member.port, members=shape.members,
-                             number=member.number, instances=instances, fleet=fleet)
+        text = CONFIG.format(
+            name=member.name,
+            host=self.host,
+            port=member.port,
+            members=shape.members,
+            number=member.number,
+            instances=instances,
+            fleet=fleet,
+        )
         path.write_text("nonsense" if member.version.endswith("never") else text)
         return path
 
@@ -242,8 +284,9 @@
                 elif process.poll() is not None:
                     member.crash_at = 0
                     status = process.returncode
-                    hurt = (any(at > now - 10 * SECOND for at in self.saw.hurt.get(member.number, []))
-                            or member.version.endswith(BAD))
+                    hurt = any(
+                        at > now - 10 * SECOND for at in self.saw.hurt.get(member.number, [])
+                    ) or member.version.endswith(BAD)
                     self.saw.exits.append((member.number, status, hurt))
                     self.note(f"{member.name} as {member.version} ended with {status}")
                     if member.born_ready:
@@ -306,9 +349,16 @@
         self._out += 1
         try:
             stream = yield from connect(self.loop, self._pool, member.clients.address, until)
-            head = h11.Request(method=b"POST", target=f"/{kind}".encode(), headers=[
-                (b"Host", b"rig"), (b"X-Txn", txn.encode()), (b"Content-Length", b"2"),
-                (b"X-Remaining-Ms", b"%d" % (GIVE_UP // 1000))])
+            head = h11.Request(
+                method=b"POST",
+                target=f"/{kind}".encode(),
+                headers=[
+                    (b"Host", b"rig"),
+                    (b"X-Txn", txn.encode()),
+                    (b"Content-Length", b"2"),
+                    (b"X-Remaining-Ms", b"%d" % (GIVE_UP // 1000)),
+                ],
+            )
             yield from stream.send(stream.frame(head, b"{}"), until)
             sent = True
             answer = yield from stream.response(until)
@@ -401,6 +451,7 @@
 
         def over() -> None:
             self.saw.store.append((began, self.loop.now()))
+
         process = self._store
         if deed.what == "store-kill" and process is not None:
             self._store = None
@@ -410,6 +461,7 @@
             def again() -> None:
                 self._start_store()
                 over()
+
             self._after(deed.span, again)
         elif deed.what == "store-stop" and process is not None:
             process.send_signal(signal.SIGSTOP)
@@ -417,19 +469,25 @@
             def go_on() -> None:
                 process.send_signal(signal.SIGCONT)
                 over()
+
             self._after(deed.span, go_on)
         elif deed.what.startswith("store-"):
             known: dict[str, dict[str, Any]] = {
-                "store-leaderless": {"leaderless": True}, "store-lose": {"lose_answers": 2},
-                "store-silent": {"silent_watches": True}, "store-slow": {"slow": 300_000}}
+                "store-leaderless": {"leaderless": True},
+                "store-lose": {"lose_answers": 2},
+                "store-silent": {"silent_watches": True},
+                "store-slow": {"slow": 300_000},
+            }
             faults = known.get(deed.what)
             if faults is None:
                 return  # a kill or a stop of a store that is down
             self.loop.spawn(self.tell_store(faults), "faults")
             if deed.span:
+
                 def heal() -> None:
                     self.loop.spawn(self.tell_store({}), "faults")
                     over()
+
                 self._after(deed.span, heal)
 
     def tell_store(self, faults: dict[str, Any]) -> Coroutine[None]:
@@ -461,14 +519,23 @@
 
     def _releasing(self, deed: Deed) -> Coroutine[None]:
         plan = release.Plan(
-            f"r{deed.at}", deed.more, (Part(count=1), Part(share=0.5), Part(share=1.0)), at_once=2,
-            soak=5 * SECOND, patience=15 * SECOND, on_failure="back")
+            f"r{deed.at}",
+            deed.more,
+            (Part(count=1), Part(share=0.5), Part(share=1.0)),
+            at_once=2,
+            soak=5 * SECOND,
+            patience=15 * SECOND,
+            on_failure="back",
+        )
         try:
             if deed.what == "release":
                 yield from self.operator.start(plan)
                 return
-            to = {"release-halt": release.State.HALTED, "release-resume": release.State.RUNNING,
-                  "release-back": release.State.BACKING}[deed.what]
+            to = {
+                "release-halt": release.State.HALTED,
+                "release-resume": release.State.RUNNING,
+                "release-back": release.State.BACKING,
+            }[deed.what]
             yield from self.operator.move(to, "by hand")
         except (Lost, Turned, Refused) as exc:
             self.note(f"operator: {deed.what}: {exc}")
@@ -516,8 +583,11 @@
             with contextlib.suppress(Lost, Turned):
                 rows = yield from self.operator.runners()
                 now = self.loop.now()
-                drained = {row["name"] for row in rows if row["state"] == "drained"
-                           and asked >= self._promised_from.get(row["name"], 0)}
+                drained = {
+                    row["name"]
+                    for row in rows
+                    if row["state"] == "drained" and asked >= self._promised_from.get(row["name"], 0)
+                }
                 for box in drained - set(self._drained):
                     self._drained[box] = now
                 for box in set(self._drained) - drained:
@@ -628,11 +698,13 @@
             else:
                 at = begun.pop((line["box"], line["txn"]), 0)
                 self.saw.ran.append((line["box"], at, line["at"], line["txn"]))
-        self.saw.starts = [(line["at"], line["txn"], line["kind"], line["box"]) for line in lines
-                           if line["what"] == "start"]
+        self.saw.starts = [
+            (line["at"], line["txn"], line["kind"], line["box"]) for line in lines if line["what"] == "start"
+        ]
         shape = self._shape
-        limits = Limits(shape.out, shape.out_zone, {i: shape.zone(i) for i in range(shape.members)},
-                        shape.lease, STATUS)
+        limits = Limits(
+            shape.out, shape.out_zone, {i: shape.zone(i) for i in range(shape.members)}, shape.lease, STATUS
+        )
         return judge(self.saw, limits, {kind for kind, effect in KINDS.items() if effect == "unsafe"})
 
     def close(self) -> None:
--- a/pulleyroute/lab/fleet/schedule.py
+++ b/pulleyroute/lab/fleet/schedule.py
@@ -47,14 +47,37 @@
 
 
 WISHES = ("standby", "restart")
-WISHED = ("wish", "undrain", "box-drain", "box-undrain", "release", "release-halt", "release-resume",
-          "release-back")  # no faults
-MEMBER_FAULTS = ("kill", "stop", "term", "store-cut", "store-cut", "store-delay", "runner-cut",
-                 "client-reset")
+WISHED = (
+    "wish",
+    "undrain",
+    "box-drain",
+    "box-undrain",
+    "release",
+    "release-halt",
+    "release-resume",
+    "release-back",
+)  # no faults
+MEMBER_FAULTS = (
+    "kill",
+    "stop",
+    "term",
+    "store-cut",
+    "store-cut",
+    "store-delay",
+    "runner-cut",
+    "client-reset",
+)
 LEADER_FAULTS = ("kill-leader", "stop-leader")
 AT_ONCE = ("kill", "term", "client-reset", "kill-leader")
-STORE_FAULTS = ("store-kill", "store-stop", "store-leaderless", "store-lose", "store-lose", "store-silent",
-                "store-slow")
+STORE_FAULTS = (
+    "store-kill",
+    "store-stop",
+    "store-leaderless",
+    "store-lose",
+    "store-lose",
+    "store-silent",
+    "store-slow",
+)
 
 
 @dataclass(slots=True, frozen=True)
--- a/pulleyroute/lab/load.py
+++ b/pulleyroute/lab/load.py
@@ -77,9 +77,16 @@
             reader, writer = await asyncio.open_connection(*self._address)
             connection = h11.Connection(h11.CLIENT)
         try:
-            head = h11.Request(method="POST", target=f"/{kind}", headers=[
-                ("Host", "load"), ("X-Txn", f"{self._mark}-{number}"),
-                ("X-Remaining-Ms", str(int(timeout * 1000))), ("Content-Length", str(len(self._body)))])
+            head = h11.Request(
+                method="POST",
+                target=f"/{kind}",
+                headers=[
+                    ("Host", "load"),
+                    ("X-Txn", f"{self._mark}-{number}"),
+                    ("X-Remaining-Ms", str(int(timeout * 1000))),
+                    ("Content-Length", str(len(self._body))),
+                ],
+            )
             for part in (head, h11.Data(data=self._body), h11.EndOfMessage()):
                 writer.write(connection.send(part) or b"")
             status = 0
@@ -172,20 +179,33 @@
 
     def rows(self) -> list[dict[str, Any]]:
         """One a kind, for a table or a program; milliseconds, histograms in their own encoding."""
-        return [{
-            "kind": name, "sent": sum(kind.endings.values()),
-            **{ending: kind.endings[ending] for ending in (SERVED, REFUSED, FAILED, LOST)},
-            **{f"p{point:g}": round(kind.served.get_value_at_percentile(point) / 1000, 3)
-               for point in (50, 90, 99, 99.9)},
-            "histogram": kind.all.encode().decode(),
-        } for name, kind in sorted(self.kinds.items())]
+        return [
+            {
+                "kind": name,
+                "sent": sum(kind.endings.values()),
+                **{ending: kind.endings[ending] for ending in (SERVED, REFUSED, FAILED, LOST)},
+                **{
+                    f"p{point:g}": round(kind.served.get_value_at_percentile(point) / 1000, 3)
+                    for point in (50, 90, 99, 99.9)
+                },
+                "histogram": kind.all.encode().decode(),
+            }
+            for name, kind in sorted(self.kinds.items())
+        ]
 
 
 Tick = Callable[[float, int], None]
 
 
-async def open_loop(target: Target, shape: Shape, mix: Mix, seed: int, timeout: float, even: bool = False,
-                    tick: Tick = lambda share, done: None) -> Report:
+async def open_loop(
+    target: Target,
+    shape: Shape,
+    mix: Mix,
+    seed: int,
+    timeout: float,
+    even: bool = False,
+    tick: Tick = lambda share, done: None,
+) -> Report:
     """Play a shape. `tick` hears the share of time that is over and how many have ended."""
     report, rng = Report(), random.Random(seed)
     began = time.perf_counter()
@@ -218,8 +238,16 @@
     return report
 
 
-async def closed_loop(target: Target, clients: int, seconds: float, mix: Mix, seed: int, timeout: float,
-                      most: int = 1_000_000, tick: Tick = lambda share, done: None) -> Report:
+async def closed_loop(
+    target: Target,
+    clients: int,
+    seconds: float,
+    mix: Mix,
+    seed: int,
+    timeout: float,
+    most: int = 1_000_000,
+    tick: Tick = lambda share, done: None,
+) -> Report:
     """So many clients, one request after another each, for some time or `most` requests."""
     report, numbers = Report(), itertools.count()
     began = time.perf_counter()
