--- a/pulleyroute/lab/referee.py
+++ b/pulleyroute/lab/referee.py
@@ -135,8 +135,9 @@
 class Referee:
     """Hears a whole run. `broken` is what it found, in the order it was found."""
 
-    def __init__(self, kinds: dict[str, Kind], figures: Figures | None = None,
-                 places: dict[str, Place] | None = None) -> None:
+    def __init__(
+        self, kinds: dict[str, Kind], figures: Figures | None = None, places: dict[str, Place] | None = None
+    ) -> None:
         self._kinds, self._figures = kinds, figures or Figures()
         self._places = places or {}
         self._requests: dict[str, _Request] = {}
@@ -196,33 +197,44 @@
     def _answer(self, request: _Request, event: Answered) -> None:
         request.answers.append(event)
         if len(request.answers) > 1:
-            self._tell(Rule.ONE_ANSWER, event.at, f"{event.request} had {len(request.answers)} answers",
-                       request)
+            self._tell(
+                Rule.ONE_ANSWER, event.at, f"{event.request} had {len(request.answers)} answers", request
+            )
         if event.at > request.asked + request.kind.give_up + self._figures.slack:
-            self._tell(Rule.ONE_ANSWER, event.at, f"{event.request} was answered after its give-up time",
-                       request)
+            self._tell(
+                Rule.ONE_ANSWER, event.at, f"{event.request} was answered after its give-up time", request
+            )
         if event.ending == "refused" and request.kind.effect == "unsafe":
             ran = [each for each in request.sent if each.attempt not in request.proved]
             if ran:
                 # A refusal promises that a repeat is harmless.
-                self._tell(Rule.NO_REPEAT, event.at,
-                           f"{event.request} was refused and may have run at {ran[0].box}",
-                           request)
+                self._tell(
+                    Rule.NO_REPEAT,
+                    event.at,
+                    f"{event.request} was refused and may have run at {ran[0].box}",
+                    request,
+                )
 
     def _send(self, request: _Request, event: Sent) -> None:
         told = self._told.get(event.box)
         if told is not None and event.at > told.at + self._figures.grace + self._figures.slack:
             late = (event.at - told.at) / 1e6
-            self._tell(Rule.DRAIN, event.at,
-                       f"{event.request} went to {event.box} {late:.2f} s after it was told "
-                                             f"{told.phase}", request)
+            self._tell(
+                Rule.DRAIN,
+                event.at,
+                f"{event.request} went to {event.box} {late:.2f} s after it was told " f"{told.phase}",
+                request,
+            )
         earlier = [each for each in request.sent if each.attempt not in request.proved]
         request.sent.append(event)
         for each in earlier:
             if not self._may_repeat(request.kind, each, event):
-                self._tell(Rule.NO_REPEAT, event.at,
-                           f"{event.request} may have run at {each.box} and went to "
-                                                     f"{event.box}", request)
+                self._tell(
+                    Rule.NO_REPEAT,
+                    event.at,
+                    f"{event.request} may have run at {each.box} and went to " f"{event.box}",
+                    request,
+                )
                 break
         self._warm(request, event)
 
@@ -254,14 +266,23 @@
         budget = figures.multiple * share * booted.capacity * figures.window
         work = sum(each.work for each in recent)
         if work > budget:
-            self._tell(Rule.COLD, event.at,
-                       f"{event.box}, {age / 1e6:.2f} s old, was sent {work / budget:.2f} times "
-                                            f"the work that it falls at", request)
+            self._tell(
+                Rule.COLD,
+                event.at,
+                f"{event.box}, {age / 1e6:.2f} s old, was sent {work / budget:.2f} times "
+                f"the work that it falls at",
+                request,
+            )
             recent.clear()  # told once a window
 
 
-def judge(events: list[Event], kinds: dict[str, Kind], figures: Figures | None = None,
-          places: dict[str, Place] | None = None, until: int | None = None) -> list[Breach]:
+def judge(
+    events: list[Event],
+    kinds: dict[str, Kind],
+    figures: Figures | None = None,
+    places: dict[str, Place] | None = None,
+    until: int | None = None,
+) -> list[Breach]:
     """A whole run at once, its events in any order; `until`: when it was over, the last event without it."""
     ordered = sorted(events, key=lambda event: (event.at, _ORDER[type(event)]))
     referee = Referee(kinds, figures, places)
--- a/pulleyroute/lab/upgrade.py
+++ b/pulleyroute/lab/upgrade.py
@@ -60,19 +60,45 @@
 
 def config(discovery: Discovery, listen: str, give_up: int) -> dict[str, object]:
     """The platform's configuration of a dispatcher in front of such boxes, which it knows from the start."""
-    classes = [{"name": name, "effect": NAMES[effect], "aim": 20_000_000, "give-up": give_up * 1_000_000}
-               for name, effect in EFFECTS.items()]
+    classes = [
+        {"name": name, "effect": NAMES[effect], "aim": 20_000_000, "give-up": give_up * 1_000_000}
+        for name, effect in EFFECTS.items()
+    ]
     return {
-        "name": "n0", "listen": listen, "discovery": discovery.address, "seed": "1",
-        "known": json.loads(discovery.whole()), "limits": {"memory_mb": MEMORY_MB, "sockets": SOCKETS},
+        "name": "n0",
+        "listen": listen,
+        "discovery": discovery.address,
+        "seed": "1",
+        "known": json.loads(discovery.whole()),
+        "limits": {"memory_mb": MEMORY_MB, "sockets": SOCKETS},
         "settings": {
-            "balancers": 1, "me": 0, "membership-mode": "on_request", "areas": ["a"], "flavors": ["kit"],
-            "caps": {"max-attempts": 4, "probes": True, "cancelling": True, "dial-timeout": 1_000_000,
-                     "keepalive": 5_000_000, "retry-after": True, "max-retry-after": 2_000_000},
-            "classes": classes, "family-info": {"report-x0": "free slots"},
+            "balancers": 1,
+            "me": 0,
+            "membership-mode": "on_request",
+            "areas": ["a"],
+            "flavors": ["kit"],
+            "caps": {
+                "max-attempts": 4,
+                "probes": True,
+                "cancelling": True,
+                "dial-timeout": 1_000_000,
+                "keepalive": 5_000_000,
+                "retry-after": True,
+                "max-retry-after": 2_000_000,
+            },
+            "classes": classes,
+            "family-info": {"report-x0": "free slots"},
             "load-report": {"fields": ["q", "rif", "x0"], "via": "pull"},
-            "obligations": {"ask-every": 1_000_000, "drain-grace": 1_500_000, "fall": 3_000_000,
-                            "cold-share": 1.0, "ramp-time": 0, "tip-multiple": 4.0}}}
+            "obligations": {
+                "ask-every": 1_000_000,
+                "drain-grace": 1_500_000,
+                "fall": 3_000_000,
+                "cold-share": 1.0,
+                "ramp-time": 0,
+                "tip-multiple": 4.0,
+            },
+        },
+    }
 
 
 class Platform:
@@ -93,8 +119,13 @@
         """One more process; returns once it says yes at its door."""
         door = f"127.0.0.1:{free_port()}"
         number = self.sock.fileno()
-        env = {**os.environ, "PROXY_CONFIG": str(self._config), "PROXY_FD": str(number),
-               "PROXY_MANAGEMENT": door, "TMPDIR": str(self._folder)}
+        env = {
+            **os.environ,
+            "PROXY_CONFIG": str(self._config),
+            "PROXY_FD": str(number),
+            "PROXY_MANAGEMENT": door,
+            "TMPDIR": str(self._folder),
+        }
         with (self._folder / "log").open("ab") as log:
             process = subprocess.Popen(self._program, env=env, stderr=log, pass_fds=[number])
         self.processes.append((process, door))
@@ -158,8 +189,9 @@
             count += 1
             self._book.ask(request, kind)
             try:
-                connection.request("POST", f"/{kind}", b"{}", {
-                    "X-Txn": request, "X-Remaining-Ms": str(self._give_up * 1000)})
+                connection.request(
+                    "POST", f"/{kind}", b"{}", {"X-Txn": request, "X-Remaining-Ms": str(self._give_up * 1000)}
+                )
                 answer = connection.getresponse()
                 answer.read()
                 ending = ENDINGS.get(answer.status, "failed")
@@ -182,14 +214,16 @@
 
 
 @contextlib.contextmanager
-def world(program: list[str], clients: int, give_up: int, slots: int = 6, mean_ms: float = 60,
-          hasty: float = 0.0) -> Iterator[World]:
+def world(
+    program: list[str], clients: int, give_up: int, slots: int = 6, mean_ms: float = 60, hasty: float = 0.0
+) -> Iterator[World]:
     """The program in front of three boxes, under load; all of it is ended whatever happens."""
     book, over, discovery = Book(), threading.Event(), Discovery()
     with tempfile.TemporaryDirectory() as folder:
         platform = Platform(Path(folder), program)
-        boxes = [JobBox(f"box-{i}", book, platform.address, slots, mean_ms, seed=i, hasty=hasty)
-                 for i in range(3)]
+        boxes = [
+            JobBox(f"box-{i}", book, platform.address, slots, mean_ms, seed=i, hasty=hasty) for i in range(3)
+        ]
         load = [Client(f"c{i}", platform.address, book, over, give_up) for i in range(clients)]
         try:
             for box in boxes:
@@ -207,8 +241,14 @@
             discovery.close()
 
 
-def play(upgrades: int = 2, clients: int = 16, hasty: float = 0.0, program: list[str] | None = None,
-         between: float = 0.5, give_up: int = GIVE_UP) -> Result:
+def play(
+    upgrades: int = 2,
+    clients: int = 16,
+    hasty: float = 0.0,
+    program: list[str] | None = None,
+    between: float = 0.5,
+    give_up: int = GIVE_UP,
+) -> Result:
     """Load, and so many upgrades in a row under it, `between` seconds apart."""
     held: list[Held] = []
     with world(program or PROGRAM, clients, give_up, hasty=hasty) as at:
--- a/pulleyroute/lab/verdict.py
+++ b/pulleyroute/lab/verdict.py
@@ -13,13 +13,15 @@
 
 def verdict(book: Book, kinds: dict[str, Kind]) -> list[Breach]:
     """The rules broken in a run that is over. However many processes served, they are one dispatcher."""
+
     def micros(seconds: float) -> int:
         return int(seconds * 1e6)
 
     events: list[Event] = [Asked(micros(at), request, kind) for request, (kind, at) in book.asked.items()]
     events += [Sent(micros(run.at), run.request, i, run.box) for i, run in enumerate(book.runs)]
     events += [Told(micros(at), box, "leaving") for box, at in book.drained.items()]
-    events += [Answered(micros(at), request, ending) for request, ending, at in book.answers
-               if ending != "lost"]
+    events += [
+        Answered(micros(at), request, ending) for request, ending, at in book.answers if ending != "lost"
+    ]
     longest = max(kind.give_up for kind in kinds.values())
     return judge(events, kinds, Figures(slack=SLACK), until=micros(time.monotonic()) + 2 * longest)
--- a/pulleyroute/net/discovery.py
+++ b/pulleyroute/net/discovery.py
@@ -95,7 +95,12 @@
     """Owns the list, its version and the calls to discovery; tells each change as a `WorkerList`."""
 
     def __init__(
-        self, loop: Loop, pool: BufferPool, discovery: tuple[str, int], settings: Settings, epoch: int,
+        self,
+        loop: Loop,
+        pool: BufferPool,
+        discovery: tuple[str, int],
+        settings: Settings,
+        epoch: int,
         seed: int = 0,
     ) -> None:
         self._loop = loop
@@ -140,8 +145,10 @@
         zone, kinds = settings.zone, settings.kinds
         if zone < len(settings.zones):
             zone = _number(self._zones, settings.zones[zone])
-        classes = [replace(cls, kind=_number(self._kinds, kinds[cls.kind]))
-                   if 0 <= cls.kind < len(kinds) else cls for cls in settings.classes]
+        classes = [
+            replace(cls, kind=_number(self._kinds, kinds[cls.kind])) if 0 <= cls.kind < len(kinds) else cls
+            for cls in settings.classes
+        ]
         self._settings = settings
         self._pause = self._backoff(settings)
         self._crowded = self._crowd(settings)
@@ -299,8 +306,7 @@
             self._pause.succeeded()
             if not self._settings.list_on_request:
                 return
-        crowded = (self._settings.list_on_request and since is None
-                   and self._loop.now() - called >= CROWDED)
+        crowded = self._settings.list_on_request and since is None and self._loop.now() - called >= CROWDED
         pause = self._crowded if crowded else self._pause
         yield Wait(until=self._loop.now() + pause.failed())
 
@@ -311,8 +317,9 @@
             answer = yield from stream.answer_head(self._loop.now() + self._answer_time)
             if answer.status != 200:
                 raise Broken(f"status {answer.status}")
-            logger.bind(event="discovery.watching").info("discovery: watching {}:{} from version {}",
-                                                         *self._discovery, self._version)
+            logger.bind(event="discovery.watching").info(
+                "discovery: watching {}:{} from version {}", *self._discovery, self._version
+            )
             words, heard = Words(), self._loop.now()
             self._open_since = heard
             self._crowded.succeeded()
@@ -354,7 +361,8 @@
         if self._back_since is None:
             self._back_since = self._loop.now()
             logger.bind(event="discovery.older", version=version).warning(
-                "discovery: version {} after {} is passed over", version, self._version)
+                "discovery: version {} after {} is passed over", version, self._version
+            )
         elif self._loop.now() - self._back_since >= BACK_TIME:
             self._moved = True
             raise Broken("versions have begun anew")
@@ -365,6 +373,7 @@
 
         Guards the drain rule: what is written counts as told, and versions that began anew look older.
         """
+
         def holds(item: Any) -> bool:
             entry, _ = self._entry(item)
             return entry.state is not WorkerState.READY and entry.started == self.incarnation(entry.worker)
@@ -390,12 +399,17 @@
                 member.active = member.listed = False
         for (entry, address), item in zip(read, data["members"], strict=True):
             self._members[entry.worker] = Member(
-                address, entry.state is WorkerState.READY, entry.state is not WorkerState.GONE, entry.started,
-                item)
+                address,
+                entry.state is WorkerState.READY,
+                entry.state is not WorkerState.GONE,
+                entry.started,
+                item,
+            )
         self._version = version
         changes = ", ".join(f"{e.worker.decode()} {e.state.name.lower()}" for e, _ in read[:8])
         logger.bind(event="discovery.changed", version=version).info(
-            "discovery: version {} {}, {} entries: {}", version, kind.name.lower(), len(read), changes)
+            "discovery: version {} {}, {} entries: {}", version, kind.name.lower(), len(read), changes
+        )
         return WorkerList(version, kind, [entry for entry, _ in read])
 
     def _entry(self, item: Any) -> tuple[Entry, tuple[str, int]]:
@@ -410,8 +424,13 @@
             if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
                 raise ValueError(f"member {name!r} with {value!r} for a number")
         entry = Entry(
-            name.encode(), _PHASES[phase], started=self._started(started), size=float(size), cell=int(cell),
-            kind=_number(self._kinds, item.get("flavor")), zone=_number(self._zones, item.get("locality")),
+            name.encode(),
+            _PHASES[phase],
+            started=self._started(started),
+            size=float(size),
+            cell=int(cell),
+            kind=_number(self._kinds, item.get("flavor")),
+            zone=_number(self._zones, item.get("locality")),
         )
         return entry, parse_address(str(item.get("host_port")))
 
--- a/pulleyroute/net/figures.py
+++ b/pulleyroute/net/figures.py
@@ -64,7 +64,8 @@
             self.counts(name)
         lines = [
             f"{how.value}.{_UNFIT.sub('_', name)}:{count}|c"
-            for name, counts in self._ended.items() for how, count in counts.items()
+            for name, counts in self._ended.items()
+            for how, count in counts.items()
         ]
         lines += [f"{name}:{getattr(self, name)}|c" for name in ("sends", "conf_loaded", "conf_invalid")]
         lines += [f"{name}:{getattr(gauges, name)}|g" for name in Gauges.__slots__]
--- a/pulleyroute/net/floods.py
+++ b/pulleyroute/net/floods.py
@@ -19,8 +19,9 @@
 
 
 ALLOWED = {
-    "reset": Allowance(200,
-                       1000),  # of streams that had no answer yet: to cancel what has begun costs its sender
+    "reset": Allowance(
+        200, 1000
+    ),  # of streams that had no answer yet: to cancel what has begun costs its sender
     "ping": Allowance(10, 100),
     "settings": Allowance(5, 50),
     "priority": Allowance(200, 2000),
--- a/pulleyroute/net/frames.py
+++ b/pulleyroute/net/frames.py
@@ -49,7 +49,7 @@
         out: list[Item] = []
         if self._preface:
             # As it comes: h2 says at once whether it is one.
-            head, data = data[:self._preface], data[self._preface:]
+            head, data = data[: self._preface], data[self._preface :]
             self._preface -= len(head)
             out.append(head)
         if self._rest:
@@ -67,16 +67,16 @@
             if kind == DATA and length and not data[at + 4] & END_STREAM_OR_PADDED:
                 if length < SMALL:
                     self._count("small")
-                stream = data[at + 5:at + 9]
+                stream = data[at + 5 : at + 9]
                 parts = self._data.get(stream)
                 if parts is None:
-                    self._data[stream] = [data[at + 9:end]]
+                    self._data[stream] = [data[at + 9 : end]]
                 else:
-                    parts.append(data[at + 9:end])
-            elif kind == WINDOW_UPDATE and length == 4 and any(data[at + 9:end]):
+                    parts.append(data[at + 9 : end])
+            elif kind == WINDOW_UPDATE and length == 4 and any(data[at + 9 : end]):
                 self._count("window")
-                stream = data[at + 5:at + 9]
-                total = self._windows.get(stream, 0) + int.from_bytes(data[at + 9:end], "big")
+                stream = data[at + 5 : at + 9]
+                total = self._windows.get(stream, 0) + int.from_bytes(data[at + 9 : end], "big")
                 if total > LARGEST_INCREMENT:
                     self._flush(out)  # too much for one frame: h2 is to see it
                     out.append(data[at:end])
@@ -104,7 +104,7 @@
             body = parts[0] if len(parts) == 1 else b"".join(parts)
             number = int.from_bytes(stream, "big") & LARGEST_INCREMENT
             for at in range(0, len(body), self.most):
-                out.append((number, body[at:at + self.most]))
+                out.append((number, body[at : at + self.most]))
         for stream, increment in self._windows.items():
             out.append((int.from_bytes(stream, "big") & LARGEST_INCREMENT, increment))
         self._data.clear()
--- a/pulleyroute/net/handover.py
+++ b/pulleyroute/net/handover.py
@@ -152,7 +152,8 @@
             except Exception as exc:
                 # Guards against another version, or a mistake, that both would go on with.
                 logger.bind(event="handover.unreadable").opt(exception=exc).error(
-                    "hand-over: a message can't be used: {}", exc)
+                    "hand-over: a message can't be used: {}", exc
+                )
                 if sock is not None:
                     sock.close()
                 self.close("a message can't be used")
@@ -171,8 +172,15 @@
 class Handover:
     """Owns the meeting place and the links: to the process before this one, and to the one after it."""
 
-    def __init__(self, loop: Loop, path: str, clients: ServiceClient, host: Host, discovery: DiscoveryClient,
-                 budgets: Budgets) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        path: str,
+        clients: ServiceClient,
+        host: Host,
+        discovery: DiscoveryClient,
+        budgets: Budgets,
+    ) -> None:
         """`path`: the meeting place, from `place`."""
         self._loop, self._clients, self._host, self._discovery = loop, clients, host, discovery
         self._budgets = budgets
@@ -242,6 +250,7 @@
                 self._clients.theirs = frozenset(values["jobs"])
             else:
                 self._calls(link, kind, values, body)
+
         return heard
 
     def _use(self, link: Link, state: list[Values]) -> Phase:
@@ -261,7 +270,8 @@
         except Exception as exc:
             # Guards the start: whatever the old process says, the new one has to serve.
             logger.bind(event="handover.unreadable").opt(exception=exc).error(
-                "hand-over: the state can't be used: {}", exc)
+                "hand-over: the state can't be used: {}", exc
+            )
             link.close("its state can't be used")
             return Phase.SERVING
         return Phase.STANDBY if state[0].get("phase") == Phase.STANDBY.value else Phase.SERVING
@@ -327,6 +337,7 @@
                 self._hand(link)
             else:
                 self._calls(link, kind, values, body)
+
         return heard
 
     def _telling(self, link: Link) -> Coroutine[None]:
@@ -336,7 +347,7 @@
         parts: list[Values] = [{"phase": self._clients.duty.phase.value}]
         # The list first: what is known of an instance goes to one that is listed.
         parts.append({"list": {"revision": self._discovery.version, "complete": True, "members": members}})
-        parts += [{"known": known[at:at + PART]} for at in range(0, len(known), PART)]
+        parts += [{"known": known[at : at + PART]} for at in range(0, len(known), PART)]
         for number, part in enumerate(parts):
             values = {**part, "version": VERSION, "now": self._loop.now(), "last": number == len(parts) - 1}
             if not (yield from link.deliver("state", values)):
@@ -436,8 +447,11 @@
         sock = socket.socket(fileno=number)
     except (ValueError, OverflowError, OSError):
         raise ValueError(f"PROXY_FD is {text!r}, not the number of an open socket") from None
-    listens = sock.family == socket.AF_INET and sock.type == socket.SOCK_STREAM and sock.getsockopt(
-        socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+    listens = (
+        sock.family == socket.AF_INET
+        and sock.type == socket.SOCK_STREAM
+        and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+    )
     if not listens:
         sock.detach()
         raise ValueError(f"PROXY_FD is {text!r}, not a socket that listens for TCP over IPv4")
--- a/pulleyroute/net/host.py
+++ b/pulleyroute/net/host.py
@@ -85,7 +85,9 @@
 
 
 _ENDS = {
-    State.DONE: Outcome.OK, State.FAILED: Outcome.ERROR, State.RETURNED: Outcome.FULL,
+    State.DONE: Outcome.OK,
+    State.FAILED: Outcome.ERROR,
+    State.RETURNED: Outcome.FULL,
     State.LOST: Outcome.RESET,
 }
 
@@ -118,9 +120,7 @@
 
 def _silent(attempt: Attempt) -> bool:
     """Whether no call will come of it: it was not sent, or its answer said that it was not taken."""
-    return attempt.over and (
-        attempt.nacked or attempt.outcome in (Outcome.CONNECT_FAILED, Outcome.MOOT)
-    )
+    return attempt.over and (attempt.nacked or attempt.outcome in (Outcome.CONNECT_FAILED, Outcome.MOOT))
 
 
 def _history(job: Job) -> str:
@@ -224,7 +224,8 @@
             # module has already counted those actions as carried out.
             self.faults += 1
             logger.bind(event="decisions.failed").exception(
-                "the decision module failed on {}", type(event).__name__)
+                "the decision module failed on {}", type(event).__name__
+            )
             actions = self._dispatcher.todo
         self._carry_out(actions)
 
@@ -263,10 +264,18 @@
         deadline = self._loop.now() + left
         job = Job(self._count, request, reply, deadline, cls, self._settings.max_attempts, self._loop.now())
         self._hold(job)
-        self.post(api.JobArrived(
-            job.number, request.job_class, left, request.slots, request.memory, cost_hint=request.hint,
-            key=request.key, is_repeat=request.is_repeat,
-        ))
+        self.post(
+            api.JobArrived(
+                job.number,
+                request.job_class,
+                left,
+                request.slots,
+                request.memory,
+                cost_hint=request.hint,
+                key=request.key,
+                is_repeat=request.is_repeat,
+            )
+        )
         return job
 
     def _hold(self, job: Job) -> None:
@@ -311,23 +320,46 @@
         """Whether all that is out for it is with the instances, and nothing hangs on this process's
         connections."""
         out = [attempt for attempt in job.attempts if not attempt.over]
-        return (not job.answered and job.bound is None and not job.committed and bool(out)
-                and all(each.accepted and not each.stopping for each in out))
+        return (
+            not job.answered
+            and job.bound is None
+            and not job.committed
+            and bool(out)
+            and all(each.accepted and not each.stopping for each in out)
+        )
 
     def pack(self, job: Job) -> dict[str, Any]:
         """A job that is movable as plain values, but for its body."""
         request = job.request
         return {
-            "txn": request.txn, "remaining": request.remaining, "method": request.method.decode(),
-            "target": request.target.decode("latin-1"), "slots": request.slots, "memory": request.memory,
+            "txn": request.txn,
+            "remaining": request.remaining,
+            "method": request.method.decode(),
+            "target": request.target.decode("latin-1"),
+            "slots": request.slots,
+            "memory": request.memory,
             "headers": [(name.decode("latin-1"), value.decode("latin-1")) for name, value in request.headers],
-            "key": request.key, "is_repeat": request.is_repeat, "deadline": job.deadline, "taken": job.taken,
-            "cls": recall.pack_class(job.cls), "most": job.most,
+            "key": request.key,
+            "is_repeat": request.is_repeat,
+            "deadline": job.deadline,
+            "taken": job.taken,
+            "cls": recall.pack_class(job.cls),
+            "most": job.most,
             "rules": recall.job(self._dispatcher, job.number),
-            "executions": [{
-                "instance": e.instance.decode(), "sent": e.sent, "timeout_at": e.timeout_at, "over": e.over,
-                "started": e.started, "outcome": e.outcome, "written": e.written, "accepted": e.accepted,
-                "nacked": e.nacked} for e in job.attempts],
+            "executions": [
+                {
+                    "instance": e.instance.decode(),
+                    "sent": e.sent,
+                    "timeout_at": e.timeout_at,
+                    "over": e.over,
+                    "started": e.started,
+                    "outcome": e.outcome,
+                    "written": e.written,
+                    "accepted": e.accepted,
+                    "nacked": e.nacked,
+                }
+                for e in job.attempts
+            ],
         }
 
     def release(self, job: Job) -> None:
@@ -341,17 +373,33 @@
     def take_over(self, values: dict[str, Any], body: bytes, reply: Reply, shift: int) -> Job:
         """Hold a job that another process packed, from here on as if it had been taken here."""
         request = Request(
-            values["txn"], 0, values["remaining"], values["method"].encode(),
+            values["txn"],
+            0,
+            values["remaining"],
+            values["method"].encode(),
             values["target"].encode("latin-1"),
-            [(name.encode("latin-1"), value.encode("latin-1")) for name, value in values["headers"]], body,
-            values["slots"], values["memory"], values["key"], values["is_repeat"])
+            [(name.encode("latin-1"), value.encode("latin-1")) for name, value in values["headers"]],
+            body,
+            values["slots"],
+            values["memory"],
+            values["key"],
+            values["is_repeat"],
+        )
         self._count += 1
         cls = recall.unpack_class(values["cls"])
-        job = Job(self._count, request, reply, values["deadline"] + shift, cls, values["most"],
-                  values["taken"] + shift)
+        job = Job(
+            self._count,
+            request,
+            reply,
+            values["deadline"] + shift,
+            cls,
+            values["most"],
+            values["taken"] + shift,
+        )
         for told in values["executions"]:
-            attempt = self._attempt(job, told["instance"].encode(), told["sent"] + shift,
-                                    told["timeout_at"] + shift)
+            attempt = self._attempt(
+                job, told["instance"].encode(), told["sent"] + shift, told["timeout_at"] + shift
+            )
             for name in ("over", "started", "written", "accepted", "nacked"):
                 setattr(attempt, name, told[name])
             attempt.outcome = None if told["outcome"] is None else Outcome(told["outcome"])
@@ -360,8 +408,11 @@
         for attempt in [e for e in job.attempts if not e.over]:
             self._arm(attempt)
         if values["rules"] is not None:
-            self._carry_out(recall.learn_job(self._dispatcher, self._loop.now(), job.number, cls, job.most,
-                                             values["rules"], shift))
+            self._carry_out(
+                recall.learn_job(
+                    self._dispatcher, self._loop.now(), job.number, cls, job.most, values["rules"], shift
+                )
+            )
         return job
 
     # Attempts as they go
@@ -372,8 +423,13 @@
         if job is not None and not attempt.over and not attempt.started:
             attempt.started = True
             if log.debugging:
-                log.event("started", txn=attempt.txn, index=attempt.index,
-                          instance=attempt.instance.decode(), took=self._loop.now() - attempt.sent)
+                log.event(
+                    "started",
+                    txn=attempt.txn,
+                    index=attempt.index,
+                    instance=attempt.instance.decode(),
+                    took=self._loop.now() - attempt.sent,
+                )
             self.post(api.AttemptStarted(job.number, attempt.index, attempt.instance))
 
     def begin(self, attempt: Attempt) -> bool:
@@ -405,12 +461,22 @@
         if answer.ending is not Ending.SERVED:
             cls = job.cls.name
             logger.bind(
-                event="request.ended", request=job.request.txn, cls=cls, outcome=answer.ending.value,
-                attempts=len(job.attempts), took=self._loop.now() - job.taken,
+                event="request.ended",
+                request=job.request.txn,
+                cls=cls,
+                outcome=answer.ending.value,
+                attempts=len(job.attempts),
+                took=self._loop.now() - job.taken,
             ).info("request {} {}: {}", job.request.txn, answer.ending.value, _history(job))
         if log.debugging:
-            log.event("answer", txn=job.request.txn, cls=job.cls.name, ending=answer.ending.value,
-                      attempts=len(job.attempts), took=self._loop.now() - job.taken)
+            log.event(
+                "answer",
+                txn=job.request.txn,
+                cls=job.cls.name,
+                ending=answer.ending.value,
+                attempts=len(job.attempts),
+                took=self._loop.now() - job.taken,
+            )
         job.reply(answer)
         self._forget(job)
 
@@ -432,7 +498,8 @@
             self._answer(job, Answer(Ending.FAILED if self._harmful(job) else Ending.REFUSED))
         else:
             logger.bind(event="request.overdue", request=job.request.txn).error(
-                "request {} had no answer from the module at its deadline", job.request.txn)
+                "request {} had no answer from the module at its deadline", job.request.txn
+            )
             self._answer(job, Answer(Ending.FAILED, late=True))
         self.post(api.JobExpired(job.number))
 
@@ -443,7 +510,8 @@
         if self._harmful(job):
             # Guards against the promise that a repeat is harmless where something may have run.
             logger.bind(event="request.not_refused", request=job.request.txn).error(
-                "request {} may have run and is not refused", job.request.txn)
+                "request {} may have run and is not refused", job.request.txn
+            )
             self._answer(job, Answer(Ending.FAILED, late=self._late(job)))
             return
         advice = min(action.retry_after, self._settings.max_retry_after)
@@ -467,8 +535,9 @@
         if job is None:
             logger.error("the module pushed a job that nobody holds")
             return
-        attempt = self._attempt(job, action.worker, self._now,
-                                min(action.timeout_at or job.deadline, job.deadline))
+        attempt = self._attempt(
+            job, action.worker, self._now, min(action.timeout_at or job.deadline, job.deadline)
+        )
         earlier = [e for e in job.attempts if e.instance == action.worker]
         job.attempts.append(attempt)
         if (
@@ -494,21 +563,37 @@
         worker = self._dispatcher.workers[attempt.instance]
         aged = worker.free is not None and worker.report_at
         log.event(
-            "push", txn=attempt.txn, index=attempt.index, instance=attempt.instance.decode(),
-            cls=job.cls.name, waited=self._now - job.taken, zone=self._settings.zone, to=worker.zone,
+            "push",
+            txn=attempt.txn,
+            index=attempt.index,
+            instance=attempt.instance.decode(),
+            cls=job.cls.name,
+            waited=self._now - job.taken,
+            zone=self._settings.zone,
+            to=worker.zone,
             free="-" if worker.free is None else round(worker.free, 2),
             age=self._now - worker.report_at if aged else -1,
             near=int(worker in self._dispatcher.near),
-            up=self._now - worker.started if worker.started else -1)
+            up=self._now - worker.started if worker.started else -1,
+        )
 
     def _attempt(self, job: Job, instance: WorkerId, sent: int, timeout_at: int) -> Attempt:
         """The job's next attempt, not begun."""
         request, effect = job.request, job.cls.effect
         return Attempt(
-            txn=request.txn, index=len(job.attempts), instance=instance, method=request.method,
-            target=request.target, headers=request.headers, body=request.body, sent=sent,
-            timeout_at=timeout_at, repeatable=effect is Effect.SAFE, call=request.call,
-            unsafe=effect is Effect.UNSAFE, incarnation=self._discovery.incarnation(instance),
+            txn=request.txn,
+            index=len(job.attempts),
+            instance=instance,
+            method=request.method,
+            target=request.target,
+            headers=request.headers,
+            body=request.body,
+            sent=sent,
+            timeout_at=timeout_at,
+            repeatable=effect is Effect.SAFE,
+            call=request.call,
+            unsafe=effect is Effect.UNSAFE,
+            incarnation=self._discovery.incarnation(instance),
         )
 
     def _may_begin(self, attempt: Attempt) -> bool:
@@ -543,14 +628,22 @@
             return True
         # Guards what must not run twice; and what carries a key, whose repeat has to come to the instances
         # before they forget the first.
-        return (job.cls.effect is Effect.KEYED
-                and now + ON_THE_WAY < min(e.sent for e in others) + job.cls.repeat_window)
+        return (
+            job.cls.effect is Effect.KEYED
+            and now + ON_THE_WAY < min(e.sent for e in others) + job.cls.repeat_window
+        )
 
     def _arm(self, attempt: Attempt) -> None:
         attempt.timer = self._loop.call_at(attempt.timeout_at, lambda: self._time_out(attempt))
 
-    def settle(self, attempt: Attempt, outcome: Outcome, report: api.LoadReport | None,
-               result: bytes = b"", ending: Ending | None = None) -> None:
+    def settle(
+        self,
+        attempt: Attempt,
+        outcome: Outcome,
+        report: api.LoadReport | None,
+        result: bytes = b"",
+        ending: Ending | None = None,
+    ) -> None:
         """An attempt has ended; only the first word on it counts.
 
         With `ending` that is the request's end too. So it is where the request was bound to this attempt or
@@ -572,12 +665,27 @@
             self._answer(job, Answer(ending, result, late=self._late(job) and ending is not Ending.SERVED))
         took = max(0, self._loop.now() - attempt.sent)
         if log.debugging:
-            log.event("ended", txn=attempt.txn, index=attempt.index, outcome=outcome.name.lower(),
-                      instance=attempt.instance.decode(), took=took)
-        self.post(api.AttemptEnded(
-            job.number, attempt.index, attempt.instance, outcome, job.answered, took, report,
-            # Once accepted it no longer hangs on its connection.
-            attempt.kept and not attempt.accepted))
+            log.event(
+                "ended",
+                txn=attempt.txn,
+                index=attempt.index,
+                outcome=outcome.name.lower(),
+                instance=attempt.instance.decode(),
+                took=took,
+            )
+        self.post(
+            api.AttemptEnded(
+                job.number,
+                attempt.index,
+                attempt.instance,
+                outcome,
+                job.answered,
+                took,
+                report,
+                # Once accepted it no longer hangs on its connection.
+                attempt.kept and not attempt.accepted,
+            )
+        )
         self._forget(job)
 
     def _reject(self, attempt: Attempt) -> None:
@@ -647,8 +755,13 @@
     def _probed(self, instance: WorkerId, outcome: Outcome, took: int, report: api.LoadReport | None) -> None:
         if log.debugging:
             free = None if report is None else report.free_slots
-            log.event("probe", instance=instance.decode(), outcome=outcome.name.lower(), took=took,
-                      free="-" if free is None else round(free, 2))
+            log.event(
+                "probe",
+                instance=instance.decode(),
+                outcome=outcome.name.lower(),
+                took=took,
+                free="-" if free is None else round(free, 2),
+            )
         self.post(api.ProbeEnded(instance, outcome, took, report))
 
     def _set_timer(self, action: api.SetTimer) -> None:
--- a/pulleyroute/net/http.py
+++ b/pulleyroute/net/http.py
@@ -166,7 +166,7 @@
         rest = memoryview(data)
         while True:
             try:
-                rest = rest[self._sock.send(rest):]
+                rest = rest[self._sock.send(rest) :]
             except (BlockingIOError, InterruptedError):
                 pass
             except OSError as exc:
@@ -253,7 +253,8 @@
     def resume(self, values: dict[str, Any], held: int) -> None:
         """Stand where `pending` was told: a request, with `held` bytes of body, waits for its answer."""
         head = b"POST / HTTP/1.1\r\nHost: -\r\n%sContent-Length: 0\r\n\r\n" % (
-            b"Connection: close\r\n" if values["last"] else b"")
+            b"Connection: close\r\n" if values["last"] else b""
+        )
         self._h11.receive_data(head + values["rest"].encode("latin-1"))
         while not isinstance(self._h11.next_event(), h11.EndOfMessage):
             pass
@@ -307,8 +308,9 @@
             if not isinstance(event, h11.InformationalResponse):
                 raise Broken("the connection ended before the answer")
 
-    def response(self, until: int | None, limit: int = BODY_LIMIT,
-                 begun: Callable[[int], None] = lambda status: None) -> Coroutine[Message]:
+    def response(
+        self, until: int | None, limit: int = BODY_LIMIT, begun: Callable[[int], None] = lambda status: None
+    ) -> Coroutine[Message]:
         """The whole answer; then the connection is ready for another request, or `reusable` says no.
 
         `begun` hears its status as soon as its head has come.
--- a/pulleyroute/net/http2.py
+++ b/pulleyroute/net/http2.py
@@ -59,6 +59,7 @@
 LOOKS = 64
 FLOOD = "too many frames"  # how the reason begins by which a flooding peer's connection ended
 
+
 @dataclass(slots=True, frozen=True)
 class Limits:
     """What one connection may take; sizes in bytes, times in microseconds."""
@@ -135,9 +136,19 @@
 class Stream:
     """One stream. Owns what waits to be sent on it."""
 
-    __slots__ = ("_credit", "_fin", "_pending", "_size", "_trailers", "answered", "connection", "ended_here",
-                 "ended_there",
-                 "id", "owner")
+    __slots__ = (
+        "_credit",
+        "_fin",
+        "_pending",
+        "_size",
+        "_trailers",
+        "answered",
+        "connection",
+        "ended_here",
+        "ended_there",
+        "id",
+        "owner",
+    )
 
     def __init__(self, connection: Http2, number: int, owner: Owner) -> None:
         self.connection = connection
@@ -223,27 +234,44 @@
 class Http2:
     """One connection, in either role. Owns its socket, its TLS, its h2 state and its streams."""
 
-    def __init__(self, loop: Loop, pool: BufferPool, sock: socket.socket, server: bool, limits: Limits,
-                 tls: Tls | None = None, opened: Opened | None = None,
-                 gone: Callable[[Http2, str], None] | None = None) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        pool: BufferPool,
+        sock: socket.socket,
+        server: bool,
+        limits: Limits,
+        tls: Tls | None = None,
+        opened: Opened | None = None,
+        gone: Callable[[Http2, str], None] | None = None,
+    ) -> None:
         self._loop, self._pool, self._sock, self._tls = loop, pool, sock, tls
         self.limits = limits
         self._server = server
         self._opened = opened
         self._gone = gone
         self._floods = Floods()
-        self._h2 = GracefulConnection(h2.config.H2Configuration(
-            client_side=not server, header_encoding=None, validate_outbound_headers=False,
-            normalize_outbound_headers=False, normalize_inbound_headers=False,
-            validate_inbound_headers=False))
+        self._h2 = GracefulConnection(
+            h2.config.H2Configuration(
+                client_side=not server,
+                header_encoding=None,
+                validate_outbound_headers=False,
+                normalize_outbound_headers=False,
+                normalize_inbound_headers=False,
+                validate_inbound_headers=False,
+            )
+        )
         self._merger = Merger(self._h2.max_inbound_frame_size, server, self._count)
-        self._h2.local_settings = h2.settings.Settings(client=not server, initial_values={
-            h2.settings.SettingCodes.MAX_CONCURRENT_STREAMS: limits.streams,
-            h2.settings.SettingCodes.INITIAL_WINDOW_SIZE: limits.window,
-            h2.settings.SettingCodes.MAX_HEADER_LIST_SIZE: limits.header_bytes,
-            h2.settings.SettingCodes.ENABLE_PUSH: 0,
-            h2.settings.SettingCodes.ENABLE_CONNECT_PROTOCOL: 0,
-        })
+        self._h2.local_settings = h2.settings.Settings(
+            client=not server,
+            initial_values={
+                h2.settings.SettingCodes.MAX_CONCURRENT_STREAMS: limits.streams,
+                h2.settings.SettingCodes.INITIAL_WINDOW_SIZE: limits.window,
+                h2.settings.SettingCodes.MAX_HEADER_LIST_SIZE: limits.header_bytes,
+                h2.settings.SettingCodes.ENABLE_PUSH: 0,
+                h2.settings.SettingCodes.ENABLE_CONNECT_PROTOCOL: 0,
+            },
+        )
         self._h2.decoder.max_header_list_size = 4 * limits.header_bytes
         self._streams: dict[int, Stream] = {}
         self._stirred: dict[Stream, None] = {}  # they have something to send
@@ -289,8 +317,12 @@
     @property
     def room(self) -> bool:
         """Whether another stream may be opened from here."""
-        return (not self.closed and not self.draining and not self._ending
-                and len(self._streams) < self._h2.remote_settings.max_concurrent_streams)
+        return (
+            not self.closed
+            and not self.draining
+            and not self._ending
+            and len(self._streams) < self._h2.remote_settings.max_concurrent_streams
+        )
 
     def request(self, headers: Headers, owner: Owner, end: bool = False) -> Stream:
         """Open a stream; raises Broken if the connection has no room for one."""
@@ -461,8 +493,11 @@
                     raise Broken("no settings in time")
                 if self._outbox and self._stuck_since and now - self._stuck_since >= STUCK_TIME:
                     raise Broken("the peer takes nothing")
-                if not self._streams and not self._outbox and (self._ending or (
-                        self.draining and self._last < LAST_ID)):
+                if (
+                    not self._streams
+                    and not self._outbox
+                    and (self._ending or (self.draining and self._last < LAST_ID))
+                ):
                     return
                 if not self._streams and self.limits.idle and now - self._idle_since > self.limits.idle:
                     self.close("idle")
@@ -589,9 +624,14 @@
             return False
         machine, size = inner.state_machine, len(body)
         whole, part = self._h2._inbound_flow_control_window_manager, inner._inbound_window_manager
-        if (machine.state not in _TAKES_DATA or not machine.headers_received or machine.trailers_received
-                or inner._expected_content_length is not None
-                or size > whole.current_window_size or size > part.current_window_size):
+        if (
+            machine.state not in _TAKES_DATA
+            or not machine.headers_received
+            or machine.trailers_received
+            or inner._expected_content_length is not None
+            or size > whole.current_window_size
+            or size > part.current_window_size
+        ):
             return False
         whole.window_consumed(size)
         part.window_consumed(size)
@@ -608,8 +648,12 @@
             self._feed()
             return True
         stream, inner = self._streams.get(number), self._h2.streams.get(number)
-        if stream is None or inner is None or inner.state_machine.state not in _SENDS_DATA or (
-                inner.outbound_flow_control_window + increment > LARGEST_INCREMENT):
+        if (
+            stream is None
+            or inner is None
+            or inner.state_machine.state not in _SENDS_DATA
+            or (inner.outbound_flow_control_window + increment > LARGEST_INCREMENT)
+        ):
             return False
         inner.outbound_flow_control_window += increment
         if stream in self._starved:
@@ -745,8 +789,11 @@
             inner = self._h2.streams.get(stream.id)
             if inner is None:
                 raise h2.exceptions.NoSuchStreamError(stream.id)
-            most = min(self._h2.outbound_flow_control_window, inner.outbound_flow_control_window,
-                       self._h2.max_outbound_frame_size)
+            most = min(
+                self._h2.outbound_flow_control_window,
+                inner.outbound_flow_control_window,
+                self._h2.max_outbound_frame_size,
+            )
             if most <= 0:
                 self._starved[stream] = None
                 return
--- a/pulleyroute/net/instance.py
+++ b/pulleyroute/net/instance.py
@@ -36,7 +36,11 @@
 
 # A load report's values have other names on sockets than in the settings.
 _SOCKET_NAMES = {
-    "inflight": "rif", "queue": "q", "util": "busy", "latency_ms": "lat_ms", "qps": "rate",
+    "inflight": "rif",
+    "queue": "q",
+    "util": "busy",
+    "latency_ms": "lat_ms",
+    "qps": "rate",
     "eps": "fail_rate",
 }
 
@@ -91,8 +95,9 @@
 class Probed(Protocol):
     """A probe's outcome, and how many microseconds it took."""
 
-    def __call__(self, instance: WorkerId, outcome: Outcome, took: int, report: LoadReport | None,
-                 /) -> None: ...
+    def __call__(
+        self, instance: WorkerId, outcome: Outcome, took: int, report: LoadReport | None, /
+    ) -> None: ...
 
 
 @dataclass(slots=True)
@@ -108,8 +113,14 @@
     """Owns every connection to an instance."""
 
     def __init__(
-        self, loop: Loop, pool: BufferPool, discovery: DiscoveryClient, settings: Settings, most: int,
-        figures: Figures | None = None, seed: int = 0,
+        self,
+        loop: Loop,
+        pool: BufferPool,
+        discovery: DiscoveryClient,
+        settings: Settings,
+        most: int,
+        figures: Figures | None = None,
+        seed: int = 0,
     ) -> None:
         self._loop = loop
         self._pool = pool
@@ -154,8 +165,11 @@
             del idle[place]
             # Guards against the instance's time limit: a request on a connection that it closes is a reset;
             # and against a connection to a process before the one that is listed.
-            if (silent < self._idle_time and kept.incarnation == self._discovery.incarnation(instance)
-                    and kept.stream.reusable()):
+            if (
+                silent < self._idle_time
+                and kept.incarnation == self._discovery.incarnation(instance)
+                and kept.stream.reusable()
+            ):
                 return kept.stream
             self._drop(kept.stream)
         return None
@@ -219,8 +233,15 @@
         for kept in self._idle.pop(instance, []):
             self._drop(kept.stream)
 
-    def _frame(self, stream: Stream, instance: WorkerId, method: bytes, target: bytes,
-               headers: Headers, body: bytes = b"") -> bytes:
+    def _frame(
+        self,
+        stream: Stream,
+        instance: WorkerId,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes = b"",
+    ) -> bytes:
         member = self._discovery.member(instance)
         host = f"{member.address[0]}:{member.address[1]}".encode() if member else b"-"
         if method != b"GET":
@@ -251,17 +272,22 @@
                     stream = None
                     return
                 left = max(1, (attempt.timeout_at - self._loop.now()) // 1000)
-                headers = [*attempt.headers, (b"X-Txn", attempt.txn.encode()),
-                           (b"X-Remaining-Ms", b"%d" % left)]
-                data = self._frame(stream, attempt.instance, attempt.method, attempt.target,
-                                   headers, attempt.body)
+                headers = [
+                    *attempt.headers,
+                    (b"X-Txn", attempt.txn.encode()),
+                    (b"X-Remaining-Ms", b"%d" % left),
+                ]
+                data = self._frame(
+                    stream, attempt.instance, attempt.method, attempt.target, headers, attempt.body
+                )
                 yield from stream.send(data, attempt.timeout_at)
             except Crowded:
                 self.ended(attempt, Outcome.MOOT, None)
                 return
             except (Broken, Late) as exc:  # the last byte was not written: it never ran
                 logger.bind(event="instance.unreachable", instance=attempt.instance.decode()).warning(
-                    "instance {}: could not connect: {}", attempt.instance.decode(), exc)
+                    "instance {}: could not connect: {}", attempt.instance.decode(), exc
+                )
                 if attempt.kept:
                     self._broke(attempt.instance)
                 self.ended(attempt, Outcome.CONNECT_FAILED, None)
@@ -271,7 +297,8 @@
             try:
                 # No resending from here on, whatever the connection does: the request may have run.
                 answer = yield from stream.response(
-                    attempt.timeout_at + ANSWER_GRACE, begun=lambda status: self._begun(attempt, status))
+                    attempt.timeout_at + ANSWER_GRACE, begun=lambda status: self._begun(attempt, status)
+                )
             except (Broken, Late, Malformed) as exc:
                 if attempt.accepted:
                     # Guards against a second copy: with the head of its 202 the instance has taken the job,
@@ -279,7 +306,8 @@
                     return
                 if not attempt.over:
                     logger.bind(event="instance.reset", instance=attempt.instance.decode()).warning(
-                        "instance {}: reset: {}", attempt.instance.decode(), exc)
+                        "instance {}: reset: {}", attempt.instance.decode(), exc
+                    )
                 if attempt.kept and not isinstance(exc, Late):
                     self._broke(attempt.instance)
                 self.ended(attempt, Outcome.RESET, None)
@@ -307,9 +335,9 @@
             attempt.nacked = True
             self.ended(attempt, Outcome.FULL, report)
             return
-        logger.bind(event="instance.answered", instance=attempt.instance.decode(),
-                    status=answer.status).warning(
-            "instance {}: answered {}", attempt.instance.decode(), answer.status)
+        logger.bind(
+            event="instance.answered", instance=attempt.instance.decode(), status=answer.status
+        ).warning("instance {}: answered {}", attempt.instance.decode(), answer.status)
         if 400 <= answer.status < 500 and answer.status not in MAY_PASS:
             self.rejected(attempt)
             return
@@ -415,7 +443,8 @@
 def spoilt(instance: str, what: object) -> None:
     """Guards whoever looks for the cause: without reports an instance stays at the floor of the draw."""
     logger.bind(event="instance.spoilt_report", instance=instance).warning(
-        "instance {}: its load report is spoilt, which changes nothing: {:.80}", instance, repr(what))
+        "instance {}: its load report is spoilt, which changes nothing: {:.80}", instance, repr(what)
+    )
 
 
 def read_report(values: object, names: dict[str, str], instance: str) -> LoadReport | None:
--- a/pulleyroute/net/listener.py
+++ b/pulleyroute/net/listener.py
@@ -22,8 +22,14 @@
     back.
     """
 
-    def __init__(self, loop: Loop, name: str, room: Callable[[], bool], shed: Callable[[], bool],
-                 welcome: Callable[[socket.socket], None]) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        name: str,
+        room: Callable[[], bool],
+        shed: Callable[[], bool],
+        welcome: Callable[[socket.socket], None],
+    ) -> None:
         self._loop, self._name = loop, name
         self._room, self._shed, self._welcome = room, shed, welcome
         self.sock: socket.socket | None = None
--- a/pulleyroute/net/log.py
+++ b/pulleyroute/net/log.py
@@ -25,8 +25,12 @@
     """A JSON line that is too long for one write, as a shorter one that is still JSON."""
     try:
         record = json.loads(line)["record"]
-        short = {"text": record["message"][:1000], "cut": True, "level": record["level"]["name"],
-                 "extra": {key: str(value)[:100] for key, value in list(record["extra"].items())[:10]}}
+        short = {
+            "text": record["message"][:1000],
+            "cut": True,
+            "level": record["level"]["name"],
+            "extra": {key: str(value)[:100] for key, value in list(record["extra"].items())[:10]},
+        }
         return json.dumps(short).encode() + b"\n"
     except (ValueError, KeyError, TypeError):
         return b'{"cut": true}\n'
@@ -54,7 +58,7 @@
             return
         text = str(message).encode(errors="replace")
         if len(text) > LINE_LIMIT - 64:
-            text = shortened(text) if self._structured else text[:LINE_LIMIT - 64] + b"\n"
+            text = shortened(text) if self._structured else text[: LINE_LIMIT - 64] + b"\n"
         if self._missed:
             left = b'{"left_out": %d}\n' if self._structured else b"(%d lines left out)\n"
             text = left % self._missed + text
@@ -88,6 +92,13 @@
     debugging = level.upper() in ("DEBUG", "TRACE")
     logger.remove()
     rate = DEBUG_RATE if debugging else RATE
-    logger.add(Sink(sys.stderr.fileno(), structured, rate), format="{message}" if structured else FORMAT,
-               level=level.upper(), colorize=False, backtrace=False, diagnose=False, catch=True,
-               serialize=structured)
+    logger.add(
+        Sink(sys.stderr.fileno(), structured, rate),
+        format="{message}" if structured else FORMAT,
+        level=level.upper(),
+        colorize=False,
+        backtrace=False,
+        diagnose=False,
+        catch=True,
+        serialize=structured,
+    )
--- a/pulleyroute/net/loop.py
+++ b/pulleyroute/net/loop.py
@@ -65,8 +65,19 @@
 class Task:
     """One coroutine on the loop."""
 
-    __slots__ = ("_begun", "_coroutine", "_doomed", "_loop", "_nudged", "_queued", "_running", "_timer",
-                 "done", "name", "wait")
+    __slots__ = (
+        "_begun",
+        "_coroutine",
+        "_doomed",
+        "_loop",
+        "_nudged",
+        "_queued",
+        "_running",
+        "_timer",
+        "done",
+        "name",
+        "wait",
+    )
 
     def __init__(self, loop: Loop, coroutine: Coroutine[Any], name: str) -> None:
         self._loop = loop
--- a/pulleyroute/net/management.py
+++ b/pulleyroute/net/management.py
@@ -127,10 +127,12 @@
             phase = operated.phase
             logger.bind(event=f"operators.{name}").info("operators: {}, and now {}", name, phase.value)
             return 200 if phase in TAKES_CLIENTS else 409, f"{phase.value}\n".encode()
+
         return verb
 
     return {
-        b"/status": {b"GET": status}, b"/status/metrics": {b"GET": figures},
+        b"/status": {b"GET": status},
+        b"/status/metrics": {b"GET": figures},
         b"/standby": {b"POST": moving("standby", operated.standby)},
         b"/active": {b"POST": moving("active", operated.active)},
     }
--- a/pulleyroute/net/process.py
+++ b/pulleyroute/net/process.py
@@ -41,9 +41,7 @@
     return source, sink
 
 
-def heeding(
-    source: socket.socket, reload: Callable[[], None], stop: Callable[[], None]
-) -> Coroutine[None]:
+def heeding(source: socket.socket, reload: Callable[[], None], stop: Callable[[], None]) -> Coroutine[None]:
     """What the signals ask for; several that come at once count as one."""
     while True:
         yield Wait(source.fileno(), READABLE)
--- a/pulleyroute/net/service_client.py
+++ b/pulleyroute/net/service_client.py
@@ -50,8 +50,10 @@
 _WHOLE = re.compile(rb"[0-9]{1,12}")
 
 
-SHED = (b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1.000\r\nContent-Length: 0\r\n"
-        b"Connection: close\r\n\r\n")
+SHED = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1.000\r\nContent-Length: 0\r\n"
+    b"Connection: close\r\n\r\n"
+)
 
 
 class Connection:
@@ -79,8 +81,15 @@
     """Owns the listener and every accepted connection."""
 
     def __init__(
-        self, loop: Loop, pool: BufferPool, ledger: Ledger, host: Host, settings: Settings, most: int,
-        most_jobs: int, figures: Figures | None = None,
+        self,
+        loop: Loop,
+        pool: BufferPool,
+        ledger: Ledger,
+        host: Host,
+        settings: Settings,
+        most: int,
+        most_jobs: int,
+        figures: Figures | None = None,
     ) -> None:
         self._loop = loop
         self._pool = pool
@@ -351,16 +360,25 @@
                     return True  # what came at the last moment is still served
                 if woken is Woken.LATE and not connection.known:
                     raise Late
-                if woken is Woken.NUDGED and not connection.known and (
-                        self._loop.now() < connection.since + LATE_SILENCE):
+                if (
+                    woken is Woken.NUDGED
+                    and not connection.known
+                    and (self._loop.now() < connection.since + LATE_SILENCE)
+                ):
                     continue  # its request may be on the way
                 if woken is not Woken.READY:
                     return False
         finally:
             self._stand(connection, None)
 
-    def _tell(self, stream: Stream, status: int, body: bytes = b"", headers: Headers | None = None,
-              close: bool = False) -> Coroutine[bool]:
+    def _tell(
+        self,
+        stream: Stream,
+        status: int,
+        body: bytes = b"",
+        headers: Headers | None = None,
+        close: bool = False,
+    ) -> Coroutine[bool]:
         """Send an answer; whether the connection goes on."""
         if body and status != 200:
             body += b"\n"
@@ -434,6 +452,7 @@
             connection.answer = answer
             if connection.task is not None:
                 connection.task.nudge()
+
         return reply
 
     def _awaiting(self, connection: Connection, job: Job) -> Coroutine[bool]:
@@ -491,11 +510,18 @@
     labels = read_labels(message.one(b"x-labels") or b"")
     pairs = dict(parse_qsl(message.target.partition(b"?")[2].decode("latin-1"), keep_blank_values=True))
     return Request(
-        txn=txn.decode(), job_class=job_class, remaining=int(remaining) * 1000, method=message.method,
-        target=message.target, body=message.body,
+        txn=txn.decode(),
+        job_class=job_class,
+        remaining=int(remaining) * 1000,
+        method=message.method,
+        target=message.target,
+        body=message.body,
         headers=[(name, value) for name, value in message.headers if name in PASSED_ON],
-        slots=labels.get("slots", 1.0), memory=labels.get("memory", 0.0), key=read_key(pairs.get("k", "")),
-        is_repeat=message.one(b"x-resent") == b"1", hint=read_estimate(message),
+        slots=labels.get("slots", 1.0),
+        memory=labels.get("memory", 0.0),
+        key=read_key(pairs.get("k", "")),
+        is_repeat=message.one(b"x-resent") == b"1",
+        hint=read_estimate(message),
     )
 
 
@@ -550,7 +576,10 @@
     if isinstance(share, bool) or not isinstance(share, int | float):
         raise ValueError("share is not a number")
     return Call(
-        txn, WorkerId(instance.encode("utf-8", "surrogatepass")), state, float(share),
+        txn,
+        WorkerId(instance.encode("utf-8", "surrogatepass")),
+        state,
+        float(share),
         result.encode("utf-8", "surrogatepass") if isinstance(result, str) else b"",
         read_report(value.get("load"), settings.report_names, instance),
     )
--- a/pulleyroute/recall.py
+++ b/pulleyroute/recall.py
@@ -17,8 +17,21 @@
 
 _SAME_START = 10_000  # two processes tell a worker's start from Unix time: they may differ by so much
 _GENERAL = ("busy", "gap", "load", "probe_credit", "running", "runs", "tight", "waits_modelled", "waits_seen")
-_FACTS = ("blame", "budget", "deep", "free", "holds", "longest", "memory", "most", "mute", "others", "prompt",
-          "shut", "wait")
+_FACTS = (
+    "blame",
+    "budget",
+    "deep",
+    "free",
+    "holds",
+    "longest",
+    "memory",
+    "most",
+    "mute",
+    "others",
+    "prompt",
+    "shut",
+    "wait",
+)
 _TIMES = ("asked", "blamed_at", "budget_at", "down_until", "heard", "report_at", "started", "wait_at")
 _ATTEMPT = ("over", "ran", "modelled")
 _ATTEMPT_TIMES = ("heard", "sent", "started")
@@ -63,13 +76,15 @@
     held = rules.jobs.get(number)
     if held is None:
         return None
-    attempts = [{"worker": a.worker.id.decode(), **_read(a, (*_ATTEMPT, *_ATTEMPT_TIMES))}
-                for a in held.attempts]
+    attempts = [
+        {"worker": a.worker.id.decode(), **_read(a, (*_ATTEMPT, *_ATTEMPT_TIMES))} for a in held.attempts
+    ]
     return {**_read(held, ("deadline", "useful_until", "slots", "memory", "tries")), "attempts": attempts}
 
 
-def learn_job(rules: Dispatcher, now: int, number: int, cls: api.JobClass, most: int, values: Values,
-              shift: int) -> list[api.Action]:
+def learn_job(
+    rules: Dispatcher, now: int, number: int, cls: api.JobClass, most: int, values: Values, shift: int
+) -> list[api.Action]:
     """Hold a job from here on as if it had been taken here; what is to be done about it at once."""
     rules.now, rules.todo = now, []
     deadline = values["deadline"] + shift
@@ -117,8 +132,9 @@
 
 def unpack_class(values: Values) -> api.JobClass:
     """The class of plain values."""
-    return api.JobClass(**{**values, "effect": api.Effect(values["effect"]),
-                           "scope": api.Scope(values["scope"])})
+    return api.JobClass(
+        **{**values, "effect": api.Effect(values["effect"]), "scope": api.Scope(values["scope"])}
+    )
 
 
 def _read(source: object, names: tuple[str, ...]) -> Values:
--- a/pulleyroute/rules.py
+++ b/pulleyroute/rules.py
@@ -82,8 +82,21 @@
 class Job:
     """A job taken and not yet forgotten."""
 
-    __slots__ = ("attempts", "cls", "deadline", "ended", "hint", "id", "memory", "most", "out", "slots",
-                 "tries", "useful_until", "waits")
+    __slots__ = (
+        "attempts",
+        "cls",
+        "deadline",
+        "ended",
+        "hint",
+        "id",
+        "memory",
+        "most",
+        "out",
+        "slots",
+        "tries",
+        "useful_until",
+        "waits",
+    )
 
     def __init__(self, event: api.JobArrived, settings: api.Settings, now: int) -> None:
         self.id = event.job
@@ -106,12 +119,13 @@
 class Worker:
     """What this dispatcher knows of a worker."""
 
-    __slots__ = (
-        "asked", "blame", "blamed_at", "budget", "budget_at", "cell", "deep", "deltas",
-        "down_until", "free", "heard", "held", "holds", "id", "kind", "longest", "memory",
-        "most", "mute", "net", "others", "out", "prompt", "rank", "ready", "report_at", "shut",
-        "signature", "started", "unstarted", "wait", "wait_at", "zone",
-    )
+    _LISTED = ("cell", "id", "kind", "rank", "ready", "started", "zone")
+    _OWN_LOAD = ("asked", "deltas", "held", "net", "out", "unstarted")
+    _REPORTED = ("deep", "free", "memory", "most", "others", "report_at", "signature")
+    _HEALTH = ("blame", "blamed_at", "down_until", "heard", "holds", "mute", "prompt", "shut")
+    _QUEUE = ("longest", "wait", "wait_at")
+    _COLD_START = ("budget", "budget_at")
+    __slots__ = (*_LISTED, *_OWN_LOAD, *_REPORTED, *_HEALTH, *_QUEUE, *_COLD_START)
 
     def __init__(self, entry: api.Entry) -> None:
         self.id = entry.worker
@@ -255,8 +269,12 @@
     def expect_start(self, attempt: Attempt) -> None:
         """Look again at a push that may be repeated when it should have started."""
         job, s = attempt.job, self.settings
-        if s.tells_start and s.cancels and job.cls.effect is not Effect.UNSAFE and (
-                len(job.attempts) < job.most):
+        if (
+            s.tells_start
+            and s.cancels
+            and job.cls.effect is not Effect.UNSAFE
+            and (len(job.attempts) < job.most)
+        ):
             trip = attempt.worker.prompt
             trips = self.running * BLEND if trip is None else START_TRIPS * trip
             self.token += 1
@@ -269,8 +287,11 @@
         if attempt.over or attempt.started or job.ended or self.now >= job.useful_until:
             return
         tried = [a.worker for a in job.attempts]
-        if not any(w.free is not None and self.room(w, job) > ROOM and self.weight(w, job) > 0
-                   for w in self.eligible(job) if w not in tried):
+        if not any(
+            w.free is not None and self.room(w, job) > ROOM and self.weight(w, job) > 0
+            for w in self.eligible(job)
+            if w not in tried
+        ):
             self.expect_start(attempt)  # its place in the queue is as good as any
             return
         self.todo.append(api.Cancel(job.id, attempt.index))
@@ -404,7 +425,7 @@
             weight *= self.abroad ** self.homing(job.cls)
         if worker.blame:
             blame = worker.blame * 0.5 ** ((now - worker.blamed_at) / self.patience)
-            weight *= ERROR_FACTOR ** blame
+            weight *= ERROR_FACTOR**blame
         if self.cold(worker):
             share = self.present(now - worker.started)
             weight *= share if self.affordable(worker, share, self.size(job)) else 0.0
@@ -498,8 +519,11 @@
         job = self.jobs.get(event.job)
         if job is not None:
             if self.settings.cancels:  # guards the room of others: nobody waits for it any more
-                self.todo += [api.Cancel(job.id, a.index) for a in job.attempts
-                              if not a.over and not (a.started and job.cls.effect is Effect.UNSAFE)]
+                self.todo += [
+                    api.Cancel(job.id, a.index)
+                    for a in job.attempts
+                    if not a.over and not (a.started and job.cls.effect is Effect.UNSAFE)
+                ]
             self.close(job)
 
     # Attempts
@@ -593,7 +617,7 @@
             if worker.free is not None and worker.free - worker.net + attempt.job.slots >= 1:
                 # Guards against workers that drain and are not yet listed so: room shown, nothing taken.
                 worker.shut += 1
-                worker.down_until = self.now + min(self.patience, self.tick * 2 ** worker.shut)
+                worker.down_until = self.now + min(self.patience, self.tick * 2**worker.shut)
             worker.free = 0.0
             worker.deep = True
             worker.report_at = self.now
@@ -611,7 +635,7 @@
 
     def doubt(self, worker: Worker) -> None:
         """The worker seems down: hold back from it, longer each time, until word comes from it."""
-        hold = min(self.patience, self.tick * 2 ** worker.holds)
+        hold = min(self.patience, self.tick * 2**worker.holds)
         worker.holds += 1
         self.moved = True
         worker.down_until = self.now + int(hold * (1 + self.rng.random()))
@@ -724,14 +748,14 @@
         if len(self.ready) > 3 * NEAR:
             # Guards against the time that a large fleet takes, and against knowing too little of too many.
             order = sorted((w for w in self.ready if w.holds < 2), key=lambda worker: worker.rank)
-            home = [w for w in order if w.zone == self.settings.zone][:3 * self.width // 4]
+            home = [w for w in order if w.zone == self.settings.zone][: 3 * self.width // 4]
             far = [w for w in order if w not in home]
-            self.near = home + far[:self.width - len(home)]
+            self.near = home + far[: self.width - len(home)]
 
     def plan_asking(self) -> None:
         """When to subscribe next: spread at random, and later after each failure."""
         if self.settings.list_on_request and not self.subscribed:
-            share = self.rng.random() * min(2.0, 2.0 ** self.ask_fails / 4)
+            share = self.rng.random() * min(2.0, 2.0**self.ask_fails / 4)
             span = self.settings.ask_every * share
             if self.ask_fails == 1:
                 # Guards the drain rule: what was told as a watch broke may be lost, and its grace is short.
--- a/pulleyroute/service/assembly.py
+++ b/pulleyroute/service/assembly.py
@@ -91,8 +91,9 @@
             try:
                 Management(loop, self._buffers, verbs(self)).listen(config.management)
             except OSError as exc:
-                raise CannotServe("management: cannot listen on {}:{}: {}".format(
-                    *config.management, exc.strerror)) from None
+                raise CannotServe(
+                    "management: cannot listen on {}:{}: {}".format(*config.management, exc.strerror)
+                ) from None
         self._duty.serve()
 
     # For the operators' door
@@ -109,8 +110,11 @@
     def gauges(self) -> Gauges:
         """What is so at the moment, over all pools."""
         pools = list(self.pools.values())
-        return Gauges(sum(each.host.open for each in pools + self._retired),
-                      sum(each.discovery.size for each in pools), sum(each.host.avoided for each in pools))
+        return Gauges(
+            sum(each.host.open for each in pools + self._retired),
+            sum(each.discovery.size for each in pools),
+            sum(each.host.avoided for each in pools),
+        )
 
     def standby(self) -> None:
         """Drain, and stay: jobs' clients are sent elsewhere, and health says that nothing is served."""
@@ -138,7 +142,8 @@
                 Path(fleet.version_file).write_text(version + "\n")
             except OSError as exc:
                 logger.bind(event="fleet.version_file").error(
-                    "{} can't be written, the same version will come: {}", fleet.version_file, exc.strerror)
+                    "{} can't be written, the same version will come: {}", fleet.version_file, exc.strerror
+                )
         self.status = fleet.restart_status
         self.stop()
 
@@ -149,8 +154,15 @@
         running = self.pools.get(pool)
         if running is None:
             return None
-        return [Runner(str(entry["id"]), str(entry.get("locality", "")), str(entry.get("flavor", "")),
-                       entry.get("phase") == "active") for entry in running.discovery.entries()]
+        return [
+            Runner(
+                str(entry["id"]),
+                str(entry.get("locality", "")),
+                str(entry.get("flavor", "")),
+                entry.get("phase") == "active",
+            )
+            for entry in running.discovery.entries()
+        ]
 
     def withhold(self, marked: set[tuple[str, str]]) -> None:
         """Give these instances, each of a pool, nothing new from now on, and no others."""
@@ -161,9 +173,13 @@
     def busy(self, pool: str, runner: str) -> bool:
         """Whether anything of this process is out there, also of a pool that a reload has replaced."""
         instance = WorkerId(runner.encode())
-        return any(running.host.out_at(instance) for running in (
-            *([self.pools[pool]] if pool in self.pools else []),
-            *(each for each in self._retired if each.pool.name == pool)))
+        return any(
+            running.host.out_at(instance)
+            for running in (
+                *([self.pools[pool]] if pool in self.pools else []),
+                *(each for each in self._retired if each.pool.name == pool),
+            )
+        )
 
     def jobs(self) -> tuple[int, int]:
         """How many jobs were served, and how many have ended, since the start."""
@@ -190,8 +206,10 @@
                 front.stop()
             for each in clients.values():
                 each.stop()
-            raise CannotServe(f"listener {name}: cannot listen on {config.listener[name].address[0]}:"
-                              f"{config.listener[name].address[1]}: {exc.strerror}") from None
+            raise CannotServe(
+                f"listener {name}: cannot listen on {config.listener[name].address[0]}:"
+                f"{config.listener[name].address[1]}: {exc.strerror}"
+            ) from None
         # From here on nothing fails: the change takes effect between two events of the loop, all of it.
         for name in made.kept_pools:
             self._renew(self.pools[name], config.pool[name], client.get(name))
@@ -230,18 +248,40 @@
 
     def _pool(self, config: Config, pool: Pool, context: ssl.SSLContext | None) -> Running:
         settings = pool_settings(config, pool)
-        discovery = DiscoveryClient(self._loop, self._buffers, pool.discovery or NOWHERE, settings,
-                                    self._epoch, self._random.getrandbits(64))
+        discovery = DiscoveryClient(
+            self._loop,
+            self._buffers,
+            pool.discovery or NOWHERE,
+            settings,
+            self._epoch,
+            self._random.getrandbits(64),
+        )
         back: Calls | Instances
         if pool.protocol == "grpc":
-            limits = Limits(window=pool.window, ping_after=pool.ping_after, ping_patience=pool.ping_patience,
-                            idle=0)
-            back = Calls(self._loop, self._buffers, discovery, settings, limits, pool.slots, pool.message,
-                         context,
-                         pool.tls.server_name if pool.tls is not None else "", self.figures)
+            limits = Limits(
+                window=pool.window, ping_after=pool.ping_after, ping_patience=pool.ping_patience, idle=0
+            )
+            back = Calls(
+                self._loop,
+                self._buffers,
+                discovery,
+                settings,
+                limits,
+                pool.slots,
+                pool.message,
+                context,
+                pool.tls.server_name if pool.tls is not None else "",
+                self.figures,
+            )
         else:
-            back = Instances(self._loop, self._buffers, discovery, settings,
-                             int(self._budget * INSTANCE_SHARE), self.figures)
+            back = Instances(
+                self._loop,
+                self._buffers,
+                discovery,
+                settings,
+                int(self._budget * INSTANCE_SHARE),
+                self.figures,
+            )
         host = FleetHost(self._loop, settings, self._random.getrandbits(64), discovery, back)
         if isinstance(back, Calls):
             back.host = host
@@ -271,28 +311,59 @@
 
     def _route(self, config: Config, pools: dict[str, Running]) -> Routes[Target]:
         numbers = {name: number for number, name in enumerate(config.job_class)}
-        return Routes([
-            (Match(route.service, route.method, route.prefix),
-             Target(pools[route.pool].host, numbers[route.job_class],
-                    config.job_class[route.job_class].give_up,
-                    name, route.job_class))
-            for name, route in config.route.items()
-        ])
-
-    def _listen(self, name: str, listener: Listener, pools: dict[str, Running], routes: Routes[Target],
-                context: ssl.SSLContext | None, fronts: dict[str, Front],
-                clients: dict[str, ServiceClient]) -> None:
+        return Routes(
+            [
+                (
+                    Match(route.service, route.method, route.prefix),
+                    Target(
+                        pools[route.pool].host,
+                        numbers[route.job_class],
+                        config.job_class[route.job_class].give_up,
+                        name,
+                        route.job_class,
+                    ),
+                )
+                for name, route in config.route.items()
+            ]
+        )
+
+    def _listen(
+        self,
+        name: str,
+        listener: Listener,
+        pools: dict[str, Running],
+        routes: Routes[Target],
+        context: ssl.SSLContext | None,
+        fronts: dict[str, Front],
+        clients: dict[str, ServiceClient],
+    ) -> None:
         if listener.protocol == "grpc":
-            front = Front(self._loop, self._buffers, routes, front_limits(listener), self.health, context,
-                          name, self.figures)
+            front = Front(
+                self._loop,
+                self._buffers,
+                routes,
+                front_limits(listener),
+                self.health,
+                context,
+                name,
+                self.figures,
+            )
             front.listen(listener.address)
             fronts[name] = front
             return
         running = pools[listener.pool]
         limits = listener.limits or ListenerLimits()
         most = min(limits.connections, int(self._budget * (1 - INSTANCE_SHARE)))
-        each = ServiceClient(self._loop, self._buffers, self._ledger, running.host, running.settings, most,
-                             min(limits.calls, int(self._budget * JOB_SHARE)), self.figures)
+        each = ServiceClient(
+            self._loop,
+            self._buffers,
+            self._ledger,
+            running.host,
+            running.settings,
+            most,
+            min(limits.calls, int(self._budget * JOB_SHARE)),
+            self.figures,
+        )
         each.left = lambda: self._left.add(name)
         each.listen(listener.address)
         if self.phase is Phase.STANDBY:
@@ -347,5 +418,11 @@
     """A listener's limits as its front takes them."""
     each = listener.limits or ListenerLimits()
     return FrontLimits(
-        each.connections, each.calls, each.message, each.replay, each.memory, each.drain,
-        Limits(streams=each.streams, window=each.window, header_bytes=each.header, idle=each.idle))
+        each.connections,
+        each.calls,
+        each.message,
+        each.replay,
+        each.memory,
+        each.drain,
+        Limits(streams=each.streams, window=each.window, header_bytes=each.header, idle=each.idle),
+    )
--- a/pulleyroute/service/joining.py
+++ b/pulleyroute/service/joining.py
@@ -19,10 +19,15 @@
     fleet = config.fleet
     assert fleet is not None
     place = Place(
-        fleet.group, fleet.member or config.name, fleet.zone, fleet.region, fleet.version or __version__,
+        fleet.group,
+        fleet.member or config.name,
+        fleet.zone,
+        fleet.region,
+        fleet.version or __version__,
         fleet.lease // 1_000_000,
         Bounds(fleet.out, fleet.out_zone, fleet.out_region, fleet.least_serving, fleet.size),
-        RunnerBounds(fleet.runners_out, fleet.runners_out_hall, fleet.runners_out_kind))
+        RunnerBounds(fleet.runners_out, fleet.runners_out_hall, fleet.runners_out_kind),
+    )
     # Not the file's seed: two processes of one file have to differ in what they call themselves.
     agent = Agent(loop, BufferPool(), fleet.store, place, service, random.SystemRandom().getrandbits(64))
     service.moved = agent.moved
--- a/pulleyroute/service/withheld.py
+++ b/pulleyroute/service/withheld.py
@@ -15,8 +15,12 @@
 
     def out_at(self, instance: WorkerId) -> int:
         """How many attempts are out there, those on their way and those being given up among them."""
-        return sum(1 for job in self._jobs.values() for attempt in job.attempts
-                   if attempt.instance == instance and not attempt.over)
+        return sum(
+            1
+            for job in self._jobs.values()
+            for attempt in job.attempts
+            if attempt.instance == instance and not attempt.over
+        )
 
 
 class Withheld:
@@ -45,8 +49,11 @@
             return
         self._names = names
         # As a list that came otherwise than from discovery: it does not say that discovery can be heard.
-        self._tell(WorkerList(self._version, ListKind.CACHED, [
-            self._shown(entry) for entry in self._entries.values()]))
+        self._tell(
+            WorkerList(
+                self._version, ListKind.CACHED, [self._shown(entry) for entry in self._entries.values()]
+            )
+        )
 
     def _shown(self, entry: Entry) -> Entry:
         if entry.worker in self._names and entry.state is WorkerState.READY:
--- a/pulleyroute/settings.py
+++ b/pulleyroute/settings.py
@@ -141,9 +141,7 @@
     top = _Section(data, "")
     caps, family, duties = top.section("caps"), top.section("family-info"), top.section("obligations")
     prices, load = top.section("prices"), top.section("load-report")
-    classes = [
-        _job_class(item, family, i) for i, item in enumerate(top.sections("classes"))
-    ]
+    classes = [_job_class(item, family, i) for i, item in enumerate(top.sections("classes"))]
     if not classes:
         raise SettingsError("settings: classes is empty")
     if len({cls.name for cls in classes}) < len(classes):
--- a/pulleyroute/wire.py
+++ b/pulleyroute/wire.py
@@ -147,8 +147,22 @@
 
     def _submit(self, body: bytes, at: int, out: list[Any]) -> int:
         inst, job, cls, left, mem, tenant, hint, slots, key, opts = _SUBMIT.unpack_from(body, at)
-        out.append((inst, JobArrived(job, cls, left, slots, mem, tenant,
-                                     hint if opts & _HINTED else None, key, bool(opts & _REPEAT))))
+        out.append(
+            (
+                inst,
+                JobArrived(
+                    job,
+                    cls,
+                    left,
+                    slots,
+                    mem,
+                    tenant,
+                    hint if opts & _HINTED else None,
+                    key,
+                    bool(opts & _REPEAT),
+                ),
+            )
+        )
         return at + _SUBMIT.size
 
     def _note(self, body: bytes, at: int, out: list[Any]) -> int:
@@ -253,7 +267,7 @@
 def _take(body: bytes, at: int, n: int) -> tuple[bytes, int]:
     if at + n > len(body):
         raise struct_error
-    return body[at:at + n], at + n
+    return body[at : at + n], at + n
 
 
 def _known(table: dict[int, Any], number: int, what: str) -> Any:
--- a/tests/fleet/test_checker.py
+++ b/tests/fleet/test_checker.py
@@ -11,8 +11,9 @@
 
 def looks(*spans, until=30 * SECOND, every=50 * MS):
     """Looks at a member that is not ready within these spans."""
-    return [Look(at, at + MS, not any(start <= at < end for start, end in spans))
-            for at in range(0, until, every)]
+    return [
+        Look(at, at + MS, not any(start <= at < end for start, end in spans)) for at in range(0, until, every)
+    ]
 
 
 def saw(**out):
--- a/tests/fleet/test_commands.py
+++ b/tests/fleet/test_commands.py
@@ -36,29 +36,37 @@
 
 
 def test_a_fleet_block_is_read_and_checked(tmp_path):
-    fleet = load(written(tmp_path, """
+    fleet = load(
+        written(
+            tmp_path,
+            """
 fleet {
   store = ["127.0.0.1:2379", "127.0.0.2:2379"]
   out   = "25%"
   out_zone = 1
   lease = "3s"
 }
-""")).fleet
+""",
+        )
+    ).fleet
     assert fleet.store == [("127.0.0.1", 2379), ("127.0.0.2", 2379)] and fleet.lease == 3_000_000
     assert (fleet.out, fleet.out_zone, fleet.out_region) == (Part(share=0.25), Part(count=1), None)
 
 
-@pytest.mark.parametrize(("line", "said"), [
-    ('store = "127.0.0.1:2379"', "fleet.store: expected a list of addresses"),
-    ('store = []', "fleet.store: expected a list of addresses"),
-    ('out = "120%"', 'fleet.out: expected a number such as 2, or a share such as "25%"'),
-    ("out = -1", "fleet.out: expected a number"),
-    ('out_zone = "half"', "fleet.out_zone: expected a number"),
-    ('lease = "1500ms"', "fleet.lease: expected whole seconds"),
-    ('lease = "0s"', "fleet.lease: expected a time"),
-    ("restart_status = 0", "fleet.restart_status"),
-    ("outs = 2", "fleet.outs: expected a known key"),
-])
+@pytest.mark.parametrize(
+    ("line", "said"),
+    [
+        ('store = "127.0.0.1:2379"', "fleet.store: expected a list of addresses"),
+        ("store = []", "fleet.store: expected a list of addresses"),
+        ('out = "120%"', 'fleet.out: expected a number such as 2, or a share such as "25%"'),
+        ("out = -1", "fleet.out: expected a number"),
+        ('out_zone = "half"', "fleet.out_zone: expected a number"),
+        ('lease = "1500ms"', "fleet.lease: expected whole seconds"),
+        ('lease = "0s"', "fleet.lease: expected a time"),
+        ("restart_status = 0", "fleet.restart_status"),
+        ("outs = 2", "fleet.outs: expected a known key"),
+    ],
+)
 def test_a_bad_fleet_block_is_told_with_line_and_key(tmp_path, line, said):
     store = "" if line.startswith("store") else 'store = ["127.0.0.1:2379"]\n'
     path = written(tmp_path, f"fleet {{\n{store}{line}\n}}\n")
@@ -83,8 +91,9 @@
 
 
 def test_commands_on_a_store(tmp_path):
-    store = subprocess.Popen([sys.executable, "-m", "pulleyroute.cli", "emulate", "store"],
-                             stdout=subprocess.PIPE, text=True)
+    store = subprocess.Popen(
+        [sys.executable, "-m", "pulleyroute.cli", "emulate", "store"], stdout=subprocess.PIPE, text=True
+    )
     try:
         address = store.stdout.readline().strip()
         path = str(written(tmp_path, f'fleet {{\nstore = ["{address}"]\n}}\n'))
--- a/tests/fleet/test_drains.py
+++ b/tests/fleet/test_drains.py
@@ -17,9 +17,14 @@
     return Known(
         seats={name: Seat(name, 1, f"z{i % 2}", "r") for i, name in enumerate(names)},
         tokens={name: name for name in names},
-        words={name: Word(name, 1, "standby" if name in out else "serving")
-               for name in names if name not in silent},
-        permits=dict.fromkeys(permits, 1), wishes={wish.name: wish for wish in wishes})
+        words={
+            name: Word(name, 1, "standby" if name in out else "serving")
+            for name in names
+            if name not in silent
+        },
+        permits=dict.fromkeys(permits, 1),
+        wishes={wish.name: wish for wish in wishes},
+    )
 
 
 def wish(name, do="standby", incarnation=1):
@@ -53,12 +58,15 @@
     assert step("a", "next", 2, "serving", False, known, ONE).act is Act.RETURN
 
 
-@pytest.mark.parametrize("known", [
-    fleet("a", "b", "c", out=["b"], wishes=[wish("a")]),
-    fleet("a", "b", "c", silent=["b"], wishes=[wish("a")]),
-    fleet("a", "b", "c", permits=["b"], wishes=[wish("a")]),
-    fleet("a", "b", "c", permits=["b"], silent=["b"], wishes=[wish("a")]),  # it crashed while it was out
-])
+@pytest.mark.parametrize(
+    "known",
+    [
+        fleet("a", "b", "c", out=["b"], wishes=[wish("a")]),
+        fleet("a", "b", "c", silent=["b"], wishes=[wish("a")]),
+        fleet("a", "b", "c", permits=["b"], wishes=[wish("a")]),
+        fleet("a", "b", "c", permits=["b"], silent=["b"], wishes=[wish("a")]),  # it crashed while it was out
+    ],
+)
 def test_everybody_not_proved_to_serve_counts(known):
     assert acts(known, "a") is Act.NOTHING
     assert refused("a", known, ONE) == "1 of the fleet are out, and 1 may be"
@@ -94,8 +102,10 @@
     assert acts(known, "a") is Act.CLAIM
 
 
-@pytest.mark.parametrize(("part", "there", "most"), [
-    (Part(count=2), 9, 2), (Part(share=0.25), 8, 2), (Part(share=0.25), 7, 1), (Part(share=0.0), 9, 0)])
+@pytest.mark.parametrize(
+    ("part", "there", "most"),
+    [(Part(count=2), 9, 2), (Part(share=0.25), 8, 2), (Part(share=0.25), 7, 1), (Part(share=0.0), 9, 0)],
+)
 def test_limits_are_numbers_or_shares_rounded_down(part, there, most):
     assert part.of(there) == most
 
@@ -111,12 +121,21 @@
 def test_a_poisoned_record_is_set_aside_and_stops_nothing_else():
     keys = Keys("g")
     good = records.encode(incarnation=3, token="t", zone="z", region="", later={"x": 1})
-    known = records.known(keys, [
-        (keys.of("seat", "a"), good), (keys.of("seat", "b"), b"{"), (keys.of("word", "c"), b"[]"),
-        (keys.of("permit", "d"), records.encode(incarnation=-1)), (keys.of("novel", "e"), b"?"),
-        (keys.of("wish", "f"), records.encode(incarnation=1, do="dance")), (keys.roll, b"x"),
-        (keys.of("permit", "g"), records.encode(incarnation=2**60)), (keys.of("seat", "h"), None),
-        (keys.of("word", "i"), b"[" * 100_000)])
+    known = records.known(
+        keys,
+        [
+            (keys.of("seat", "a"), good),
+            (keys.of("seat", "b"), b"{"),
+            (keys.of("word", "c"), b"[]"),
+            (keys.of("permit", "d"), records.encode(incarnation=-1)),
+            (keys.of("novel", "e"), b"?"),
+            (keys.of("wish", "f"), records.encode(incarnation=1, do="dance")),
+            (keys.roll, b"x"),
+            (keys.of("permit", "g"), records.encode(incarnation=2**60)),
+            (keys.of("seat", "h"), None),
+            (keys.of("word", "i"), b"[" * 100_000),
+        ],
+    )
     assert known.seats == {"a": Seat("a", 3, "z", "")}
     assert known.spoilt == ["seat/b", "word/c", "permit/d", "wish/f", "permit/g", "word/i"]
 
@@ -154,9 +173,13 @@
 
 def known_of(store, mutant):
     seats, words, permits, wishes, _ = store
-    known = Known({n: Seat(n, i, "", "") for n, i in seats}, dict(seats),
-                  {n: Word(n, i, p) for n, i, p in words}, dict.fromkeys(permits, 1),
-                  {n: Wish(n, "standby", 1) for n in wishes})
+    known = Known(
+        {n: Seat(n, i, "", "") for n, i in seats},
+        dict(seats),
+        {n: Word(n, i, p) for n, i, p in words},
+        dict.fromkeys(permits, 1),
+        {n: Wish(n, "standby", 1) for n in wishes},
+    )
     if mutant == "lapse":  # a lease that ends frees its holder's permit
         known.permits = {n: 1 for n in permits if n in known.words}
         known.seats = {n: s for n, s in known.seats.items() if n in known.words}
@@ -170,15 +193,23 @@
         name = NAMES[at]
 
         def put(member, new=store, at=at):
-            return (*members[:at], member, *members[at + 1:]), new
+            return (*members[:at], member, *members[at + 1 :]), new
+
         if not alive:
             mine = tuple(w for w in words if w[0] != name)
             if len(mine) < len(words):
                 yield put(members[at], (seats, mine, permits, wishes, roll))
             if incarnation < 2:
-                yield put((True, "serving", False, incarnation + 1, store), (
-                    tuple((n, incarnation + 1 if n == name else i) for n, i in seats), mine, permits, wishes,
-                    roll + 1))
+                yield put(
+                    (True, "serving", False, incarnation + 1, store),
+                    (
+                        tuple((n, incarnation + 1 if n == name else i) for n, i in seats),
+                        mine,
+                        permits,
+                        wishes,
+                        roll + 1,
+                    ),
+                )
             continue
         if incarnation < 2:
             yield put((False, phase if planned else "gone", planned, incarnation, snap))
@@ -186,8 +217,12 @@
             yield put((alive, phase, planned, incarnation, store))
         own = dict(snap[0]).get(name) == dict(seats).get(name) == incarnation
         mine = (name, incarnation, phase)
-        if own and mine not in snap[1] and next((w for w in words if w[0] == name), None) == next(
-                (w for w in snap[1] if w[0] == name), None):
+        if (
+            own
+            and mine not in snap[1]
+            and next((w for w in words if w[0] == name), None)
+            == next((w for w in snap[1] if w[0] == name), None)
+        ):
             told = (*(w for w in words if w[0] != name), mine)
             new = (seats, tuple(sorted(told)), permits, wishes, roll)
             yield put((alive, phase, planned, incarnation, new), new)
@@ -195,8 +230,13 @@
         if name not in known.seats:
             continue
         act = step(name, incarnation, incarnation, phase, planned, known, ONE).act
-        if (mutant == "untold" and act is Act.NOTHING and name in known.wishes and name not in known.permits
-                and refused(name, known, ONE) is None):
+        if (
+            mutant == "untold"
+            and act is Act.NOTHING
+            and name in known.wishes
+            and name not in known.permits
+            and refused(name, known, ONE) is None
+        ):
             act = Act.ASK
         if act is Act.ASK:
             fresh = (mutant == "roll" or roll == snap[4]) and name in wishes
--- a/tests/fleet/test_link.py
+++ b/tests/fleet/test_link.py
@@ -27,6 +27,7 @@
             return far.accept()[0]
         except BlockingIOError:
             return None
+
     return link, near, far, lambda: Peer(loop, loop.until(accepted))
 
 
--- a/tests/fleet/test_members.py
+++ b/tests/fleet/test_members.py
@@ -17,17 +17,20 @@
     return picture(SEATS, words(*out), permits)
 
 
-@pytest.mark.parametrize(("word", "permitted", "how"), [
-    (Word("d0", 4, "serving"), False, Standing.SERVING),
-    (Word("d0", 4, "serving"), True, Standing.PERMITTED),  # it may go at any moment
-    (None, True, Standing.PERMITTED),  # its lease has run out, and that returns nothing
-    (None, False, Standing.SILENT),
-    (Word("d0", 3, "serving"), False, Standing.STALE),
-    (Word("d0", 4, "starting"), False, Standing.STARTING),
-    (Word("d0", 4, "standby"), False, Standing.STANDBY),
-    (Word("d0", 4, "ending"), False, Standing.ENDING),
-    (Word("d0", 4, "a phase of a later version"), False, Standing.ENDING),
-])
+@pytest.mark.parametrize(
+    ("word", "permitted", "how"),
+    [
+        (Word("d0", 4, "serving"), False, Standing.SERVING),
+        (Word("d0", 4, "serving"), True, Standing.PERMITTED),  # it may go at any moment
+        (None, True, Standing.PERMITTED),  # its lease has run out, and that returns nothing
+        (None, False, Standing.SILENT),
+        (Word("d0", 3, "serving"), False, Standing.STALE),
+        (Word("d0", 4, "starting"), False, Standing.STARTING),
+        (Word("d0", 4, "standby"), False, Standing.STANDBY),
+        (Word("d0", 4, "ending"), False, Standing.ENDING),
+        (Word("d0", 4, "a phase of a later version"), False, Standing.ENDING),
+    ],
+)
 def test_only_a_member_proved_to_be_serving_is_not_out(word, permitted, how):
     assert standing(Seat("d0", 4, "z", "r"), word, permitted) is how
 
@@ -37,25 +40,31 @@
     assert [claims(seat, number) for number in (3, 4, 5)] == [False, True, True] and claims(None, 1)
 
 
-@pytest.mark.parametrize(("limits", "out", "why"), [
-    (Limits(fleet=1), (), None),
-    (Limits(fleet=1), ("d5",), "1 of the fleet are out, and 1 may be"),
-    (Limits(zone=1), ("d4",), None),  # the same zone's name in another region is another zone
-    (Limits(zone=1), ("d2",), "1 of zone z0 are out, and 1 may be"),
-    (Limits(region=1), ("d5",), None),
-    (Limits(region=1), ("d1",), "1 of region r0 are out, and 1 may be"),
-    (Limits(least_serving=5), ("d5",), "5 serve, and 5 have to"),
-    (Limits(fleet=0), (), "0 of the fleet are out, and 0 may be"),
-    (Limits(fleet=0), ("d0",), None),  # it is out already
-])
+@pytest.mark.parametrize(
+    ("limits", "out", "why"),
+    [
+        (Limits(fleet=1), (), None),
+        (Limits(fleet=1), ("d5",), "1 of the fleet are out, and 1 may be"),
+        (Limits(zone=1), ("d4",), None),  # the same zone's name in another region is another zone
+        (Limits(zone=1), ("d2",), "1 of zone z0 are out, and 1 may be"),
+        (Limits(region=1), ("d5",), None),
+        (Limits(region=1), ("d1",), "1 of region r0 are out, and 1 may be"),
+        (Limits(least_serving=5), ("d5",), "5 serve, and 5 have to"),
+        (Limits(fleet=0), (), "0 of the fleet are out, and 0 may be"),
+        (Limits(fleet=0), ("d0",), None),  # it is out already
+    ],
+)
 def test_limits_count_crashed_members_with_those_on_a_permit(limits, out, why):
     assert refusal(SEATS, known(*out), limits, "d0") == why
     assert refusal(SEATS, known(permits=out), limits, "d0") == why
     assert refusal(SEATS, known(), limits, "nobody") == "nobody has no seat"
 
 
-@given(st.lists(st.tuples(st.sampled_from("apcb"), st.integers(0, 5)), max_size=40), st.integers(0, 4),
-       st.integers(0, 3))
+@given(
+    st.lists(st.tuples(st.sampled_from("apcb"), st.integers(0, 5)), max_size=40),
+    st.integers(0, 4),
+    st.integers(0, 3),
+)
 def test_whatever_crashes_and_returns_no_permit_takes_more_out_than_the_limit(steps, most, least):
     """a: asks and goes if it may; p: gives its permit back; c: crashes; b: is back."""
     crashed, permits = set(), set()
@@ -76,7 +85,8 @@
             crashed.discard(name)
 
 
-@pytest.mark.parametrize(("part", "of", "number"), [
-    (0.5, 3, 1), (0.34, 3, 1), (0.1, 30, 3), (0, 9, 0), (1, 9, 9)])
+@pytest.mark.parametrize(
+    ("part", "of", "number"), [(0.5, 3, 1), (0.34, 3, 1), (0.1, 30, 3), (0, 9, 0), (1, 9, 9)]
+)
 def test_a_share_never_allows_more_than_it_says(part, of, number):
     assert share(part, of) == number
--- a/tests/fleet/test_release.py
+++ b/tests/fleet/test_release.py
@@ -16,14 +16,23 @@
 from tests.fleet.test_agent import Fleet, together
 
 SECOND = 1_000_000
-PLAN = Plan("r", "v2", (Part(count=1), Part(share=0.5), Part(share=1.0)), at_once=2, soak=2 * SECOND,
-            patience=30 * SECOND)
+PLAN = Plan(
+    "r",
+    "v2",
+    (Part(count=1), Part(share=0.5), Part(share=1.0)),
+    at_once=2,
+    soak=2 * SECOND,
+    patience=30 * SECOND,
+)
 
 
 def known(*names, version="v1", good=95):
-    return Known({n: Seat(n, 1, f"z{i % 2}", "r") for i, n in enumerate(names)}, dict.fromkeys(names, "t"),
-                 {n: Word(n, 1, "serving", version) for n in names},
-                 health={n: Health(1, good, 100) for n in names})
+    return Known(
+        {n: Seat(n, 1, f"z{i % 2}", "r") for i, n in enumerate(names)},
+        dict.fromkeys(names, "t"),
+        {n: Word(n, 1, "serving", version) for n in names},
+        health={n: Health(1, good, 100) for n in names},
+    )
 
 
 def started(plan=PLAN, names="abcd", **more):
@@ -48,11 +57,14 @@
     assert started(replace(PLAN, waves=(Part(count=9),))).release.counts == (4,)
 
 
-@pytest.mark.parametrize(("plan", "why"), [
-    (replace(PLAN, zones=("z9",)), "no member stands in zone z9"),
-    (replace(PLAN, of_version="v0"), "no member is meant by it"),
-    (replace(PLAN, waves=(Part(count=3), Part(count=1))), "a wave has fewer members than the one before"),
-])
+@pytest.mark.parametrize(
+    ("plan", "why"),
+    [
+        (replace(PLAN, zones=("z9",)), "no member stands in zone z9"),
+        (replace(PLAN, of_version="v0"), "no member is meant by it"),
+        (replace(PLAN, waves=(Part(count=3), Part(count=1))), "a wave has fewer members than the one before"),
+    ],
+)
 def test_a_plan_that_can_not_be_carried_out_is_refused_at_its_start(plan, why):
     with pytest.raises(NotSo, match=why):
         begin(plan, known("a", "b", "c"))
@@ -160,7 +172,9 @@
         changed(now, name)
     move = step(now, seen, 0)
     assert [(wish.name, wish.version, wish.incarnation) for wish in move.wishes] == [
-        ("b", "v1", 2), ("a", "v1", 2)]
+        ("b", "v1", 2),
+        ("a", "v1", 2),
+    ]
     move = step(now, seen, 31 * SECOND)
     assert move.release.state == State.HALTED.value and "b as v2, a as v2" in move.release.why
     for name in "ab":
@@ -172,10 +186,12 @@
     path = tmp_path / "plan.hcl"
     path.write_text('release "r" {\n version = "v2"\n waves = [1, "50%"]\n soak = "2s"\n at_once = 3\n}\n')
     assert load_plan(path) == Plan("r", "v2", (Part(count=1), Part(share=0.5)), at_once=3, soak=2 * SECOND)
-    for text, said in (('waves = [1, "x"]', "2: release.r.waves: expected a list of numbers and shares"),
-                       ('waves = [1]\n version = 3', "3: release.r.version: expected a text"),
-                       ('waves = [1]\n soak = "soon"', "3: release.r.soak: expected a time"),
-                       ('waves = [1]\n on_failure = "cry"', "on_failure: expected one of 'halt', 'back'")):
+    for text, said in (
+        ('waves = [1, "x"]', "2: release.r.waves: expected a list of numbers and shares"),
+        ("waves = [1]\n version = 3", "3: release.r.version: expected a text"),
+        ('waves = [1]\n soak = "soon"', "3: release.r.soak: expected a time"),
+        ('waves = [1]\n on_failure = "cry"', "on_failure: expected one of 'halt', 'back'"),
+    ):
         path.write_text(f'release "r" {{\n {text}\n}}\n')
         with pytest.raises(Invalid) as told:
             load_plan(path)
@@ -290,8 +306,9 @@
     for each in fleet.agents.values():  # all stand still, and what they know with them
         each._task.cancel()
     agent._health_at = 2**62
-    monkeypatch.setattr("pulleyroute.fleet.release.step", lambda known, seen, now: Move(
-        replace(known.release, wave=1)))
+    monkeypatch.setattr(
+        "pulleyroute.fleet.release.step", lambda known, seen, now: Move(replace(known.release, wave=1))
+    )
     lead = agent._mirror[agent._keys.lead]
     assert fleet.do(fleet.operator._client.commit(lead, None, fleet.loop.now() + 5 * SECOND)) is None
     fleet.do(agent._release())
--- a/tests/fleet/test_rig.py
+++ b/tests/fleet/test_rig.py
@@ -15,24 +15,51 @@
 S = 1_000_000
 SHAPE = Shape(members=5, runners=2, length=9 * S, rate=20.0)
 # The store takes 0.3 s for each answer, so that all have asked before any has heard of another's permit.
-ALL_AT_ONCE = Schedule(1, SHAPE, [
-    Deed(S // 2, "store-slow", -1, 5 * S), *(Deed(S, "wish", who, 0, "standby") for who in range(5))])
+ALL_AT_ONCE = Schedule(
+    1,
+    SHAPE,
+    [Deed(S // 2, "store-slow", -1, 5 * S), *(Deed(S, "wish", who, 0, "standby") for who in range(5))],
+)
 # One stands still while it is out, for longer than its lease; then all others are wanted out.
-STALLED = Schedule(2, SHAPE, [
-    Deed(S, "wish", 0, 0, "standby"), Deed(2 * S, "stop", 0, 13 * S, "once out"),
-    *(Deed(9 * S, "wish", who, 0, "standby") for who in range(1, 5))])
-RELEASE = Schedule(3, SHAPE, [
-    *(Deed(S, "wish", who, 0, "restart") for who in range(5)),
-    Deed(2 * S, "store-kill", -1, S), Deed(4 * S, "kill", 2), Deed(5 * S, "store-cut", 3, 3 * S, "down")])
+STALLED = Schedule(
+    2,
+    SHAPE,
+    [
+        Deed(S, "wish", 0, 0, "standby"),
+        Deed(2 * S, "stop", 0, 13 * S, "once out"),
+        *(Deed(9 * S, "wish", who, 0, "standby") for who in range(1, 5)),
+    ],
+)
+RELEASE = Schedule(
+    3,
+    SHAPE,
+    [
+        *(Deed(S, "wish", who, 0, "restart") for who in range(5)),
+        Deed(2 * S, "store-kill", -1, S),
+        Deed(4 * S, "kill", 2),
+        Deed(5 * S, "store-cut", 3, 3 * S, "down"),
+    ],
+)
 # Jobs of a second on the mean, on runners of which one after the other is drained.
-BOXES = Schedule(4, Shape(members=4, runners=3, length=10 * S, rate=8.0, mean_ms=1000), [
-    Deed(2 * S, "box-drain", 0), Deed(7 * S, "box-undrain", 0), Deed(3 * S, "box-drain", 1),
-    Deed(9 * S, "box-undrain", 1)])
+BOXES = Schedule(
+    4,
+    Shape(members=4, runners=3, length=10 * S, rate=8.0, mean_ms=1000),
+    [
+        Deed(2 * S, "box-drain", 0),
+        Deed(7 * S, "box-undrain", 0),
+        Deed(3 * S, "box-drain", 1),
+        Deed(9 * S, "box-undrain", 1),
+    ],
+)
 # A version that errs, and a good one; the leader is stopped past its lease and woken, and killed.
-BAD_VERSION = Schedule(5, SHAPE, [
-    Deed(S, "release", -1, 0, "v2-errs"), Deed(4 * S, "stop-leader", -1, 5 * S)])
-GOOD_VERSION = Schedule(6, SHAPE, [
-    Deed(S, "release", -1, 0, "v2"), Deed(4 * S, "kill-leader"), Deed(12 * S, "stop-leader", -1, 5 * S)])
+BAD_VERSION = Schedule(
+    5, SHAPE, [Deed(S, "release", -1, 0, "v2-errs"), Deed(4 * S, "stop-leader", -1, 5 * S)]
+)
+GOOD_VERSION = Schedule(
+    6,
+    SHAPE,
+    [Deed(S, "release", -1, 0, "v2"), Deed(4 * S, "kill-leader"), Deed(12 * S, "stop-leader", -1, 5 * S)],
+)
 MUTANT = """
 import sys
 import pulleyroute.fleet.agent as agent
@@ -44,34 +71,49 @@
 """
 MUTANTS = {
     # The count of a permit is not held against a race.
-    "race": (ALL_AT_ONCE, """
+    "race": (
+        ALL_AT_ONCE,
+        """
 agent.unchanged = lambda item: {"key": "YQ==", "target": "VERSION", "version": "-1", "result": "GREATER"}
-"""),
+""",
+    ),
     # The end of a lease frees its holder's permit.
-    "lapse": (STALLED, """
+    "lapse": (
+        STALLED,
+        """
 def picture(seats, words, permits, whole=drains.picture):
     return whole([seat for seat in seats if seat.name in words], words, permits)
 drains.picture = picture
 drains.Bounds.unseen = lambda self, known: 0
-"""),
+""",
+    ),
     # Only those on a permit count as out: a crashed one does not.
-    "drained only": (STALLED, """
+    "drained only": (
+        STALLED,
+        """
 from pulleyroute.fleet.members import Standing
 def picture(seats, words, permits):
     return {seat.name: Standing.PERMITTED if seat.name in permits and seat.name in words else Standing.SERVING
             for seat in seats}
 drains.picture = picture
 drains.counted = lambda known: sorted(known.words)
-"""),
+""",
+    ),
     # A member says that it has nothing at a runner before its last job has ended there.
-    "hasty": (BOXES, """
+    "hasty": (
+        BOXES,
+        """
 assembly.Service.busy = lambda self, pool, runner: False
-"""),
+""",
+    ),
     # A drained runner is given work all the same.
-    "deaf": (BOXES, """
+    "deaf": (
+        BOXES,
+        """
 assembly.Service.withhold = lambda self, marked: None
 assembly.Service.busy = lambda self, pool, runner: False
-"""),
+""",
+    ),
 }
 
 
@@ -82,17 +124,25 @@
 
 @pytest.fixture(scope="module")
 def runs():
-    jobs = {"seed 3": (draw(3),), "seed 4": (draw(4),), "all at once": (ALL_AT_ONCE,), "stalled": (STALLED,),
-            "release": (RELEASE,), "boxes": (BOXES,),
-            "bad version": (BAD_VERSION,), "good version": (GOOD_VERSION,),
-            **{name: mutated(name) for name in MUTANTS}}
+    jobs = {
+        "seed 3": (draw(3),),
+        "seed 4": (draw(4),),
+        "all at once": (ALL_AT_ONCE,),
+        "stalled": (STALLED,),
+        "release": (RELEASE,),
+        "boxes": (BOXES,),
+        "bad version": (BAD_VERSION,),
+        "good version": (GOOD_VERSION,),
+        **{name: mutated(name) for name in MUTANTS},
+    }
     with ProcessPoolExecutor(4, get_context("spawn")) as pool:
         going = {name: pool.submit(play, *job) for name, job in jobs.items()}
         return {name: each.result() for name, each in going.items()}
 
 
-@pytest.mark.parametrize("name", ["seed 3", "seed 4", "all at once", "stalled", "release", "boxes",
-                                  "bad version", "good version"])
+@pytest.mark.parametrize(
+    "name", ["seed 3", "seed 4", "all at once", "stalled", "release", "boxes", "bad version", "good version"]
+)
 def test_no_promise_is_broken_whatever_is_hurt(runs, name):
     assert runs[name].broken == []
     assert runs[name].endings["served"] > 0
--- a/tests/fleet/test_runners.py
+++ b/tests/fleet/test_runners.py
@@ -14,17 +14,24 @@
     return [Runner(f"r{i}", f"h{i % 2}", "old" if i < 2 else "new", f"r{i}" not in leaving) for i in range(4)]
 
 
-@pytest.mark.parametrize(("bounds", "leaving", "marked", "why"), [
-    (RunnerBounds(pool=Part(count=1)), (), set(), None),
-    (RunnerBounds(pool=Part(count=1)), ("r3",), set(), "1 of the pool are out, and 1 may be"),
-    (RunnerBounds(pool=Part(share=0.5)), ("r3",), {"r2"}, "2 of the pool are out, and 2 may be"),
-    (RunnerBounds(hall=Part(count=1)), ("r2",), set(), "1 of hall h0 are out, and 1 may be"),
-    (RunnerBounds(hall=Part(count=1)), ("r3",), set(), None),
-    (RunnerBounds(kind=Part(count=1)), (), {"r1"}, "1 of kind old are out, and 1 may be"),
-    (RunnerBounds(), ("r1", "r2"), {"r3"},
-     "r0 is the last one that takes work: every class of the pool would be stranded"),
-    (RunnerBounds(pool=Part(count=0)), ("r0",), set(), None),  # discovery says so already
-])
+@pytest.mark.parametrize(
+    ("bounds", "leaving", "marked", "why"),
+    [
+        (RunnerBounds(pool=Part(count=1)), (), set(), None),
+        (RunnerBounds(pool=Part(count=1)), ("r3",), set(), "1 of the pool are out, and 1 may be"),
+        (RunnerBounds(pool=Part(share=0.5)), ("r3",), {"r2"}, "2 of the pool are out, and 2 may be"),
+        (RunnerBounds(hall=Part(count=1)), ("r2",), set(), "1 of hall h0 are out, and 1 may be"),
+        (RunnerBounds(hall=Part(count=1)), ("r3",), set(), None),
+        (RunnerBounds(kind=Part(count=1)), (), {"r1"}, "1 of kind old are out, and 1 may be"),
+        (
+            RunnerBounds(),
+            ("r1", "r2"),
+            {"r3"},
+            "r0 is the last one that takes work: every class of the pool would be stranded",
+        ),
+        (RunnerBounds(pool=Part(count=0)), ("r0",), set(), None),  # discovery says so already
+    ],
+)
 def test_limits_count_what_discovery_says_and_what_is_marked(bounds, leaving, marked, why):
     assert refusal("r0", boxes(leaving), marked, bounds) == why
 
--- a/tests/fleet/test_store.py
+++ b/tests/fleet/test_store.py
@@ -46,6 +46,7 @@
             ended.append((True, (yield from coroutine)))
         except Exception as exc:
             ended.append((False, exc))
+
     loop.spawn(body(), "test")
     end = time.monotonic() + 60
     while not ended:
@@ -166,11 +167,19 @@
         play.run(play.client.watch(b"a", b"b", 0, lambda items, at: None, 2 * SECOND))
 
 
-@pytest.mark.parametrize(("path", "body"), [
-    ("/v3/kv/txn", {"compare": [{"target": "MOOD"}]}), ("/v3/kv/txn", {"success": [{"request_fly": {}}]}),
-    ("/v3/kv/put", {"key": "?"}), ("/v3/kv/put", {}), ("/v3/lease/grant", {"TTL": "-1"}), ("/v3/none", {}),
-    ("/v3/kv/range", {"key": "aw==", "revision": "99"}), ("/v3/kv/txn", {"success": [1]}),
-])
+@pytest.mark.parametrize(
+    ("path", "body"),
+    [
+        ("/v3/kv/txn", {"compare": [{"target": "MOOD"}]}),
+        ("/v3/kv/txn", {"success": [{"request_fly": {}}]}),
+        ("/v3/kv/put", {"key": "?"}),
+        ("/v3/kv/put", {}),
+        ("/v3/lease/grant", {"TTL": "-1"}),
+        ("/v3/none", {}),
+        ("/v3/kv/range", {"key": "aw==", "revision": "99"}),
+        ("/v3/kv/txn", {"success": [1]}),
+    ],
+)
 def test_bad_calls_are_turned_down_with_a_reason_and_change_nothing(play, path, body):
     with pytest.raises(Turned):
         play.run(play.client.call(path, body))
@@ -179,8 +188,10 @@
 
 def test_a_full_disk_promises_nothing_more_and_what_was_promised_is_there_after_it(play, monkeypatch):
     put(play, b"k", b"before")
+
     def full(fd):
         raise OSError("no space left")
+
     monkeypatch.setattr("pulleyroute.emulator.store.os.fsync", full)
     with pytest.raises(Lost) as told:
         play.run(play.client.commit(Item(b"j"), b"v", play.loop.now() + SECOND))
@@ -207,6 +218,7 @@
 
     def run(coroutine):
         return drive(loop, coroutine, lambda: None)
+
     try:
         held = run(client.grant(60))
         for name in (b"a", b"b", b"c"):
--- a/tests/fleet/test_store_model.py
+++ b/tests/fleet/test_store_model.py
@@ -28,9 +28,13 @@
 
 
 KEYS = st.sampled_from([b"a", b"a/1", b"a/2", b"b", b"\xff"])
-STEPS = st.lists(st.one_of(
-    st.tuples(st.just("put"), KEYS, st.binary(max_size=2)), st.tuples(st.just("delete"), KEYS, st.just(b""))),
-    max_size=25)
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("put"), KEYS, st.binary(max_size=2)),
+        st.tuples(st.just("delete"), KEYS, st.just(b"")),
+    ),
+    max_size=25,
+)
 
 
 @given(STEPS, st.data())
@@ -59,10 +63,15 @@
                     store.range(b"\0", FROM_KEY, revision)
 
 
-@pytest.mark.parametrize("bad", [
-    [put(b"x"), put(b"y"), put(b"x")], [put(b"x"), put(b"y", lease=99)], [put(b"x"), put(b"")],
-    [put(b"x"), read(b"x", revision=99)],
-])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        [put(b"x"), put(b"y"), put(b"x")],
+        [put(b"x"), put(b"y", lease=99)],
+        [put(b"x"), put(b"")],
+        [put(b"x"), read(b"x", revision=99)],
+    ],
+)
 def test_a_transaction_that_cannot_be_carried_out_whole_changes_nothing(bad):
     store = Store()
     with pytest.raises(Refused):
@@ -87,8 +96,10 @@
     assert store.grant(5, 0, now=0) != lease
 
 
-@pytest.mark.parametrize(("target", "absent", "present"), [
-    ("VERSION", 0, 2), ("CREATE", 0, 2), ("MOD", 0, 3), ("VALUE", b"", b"v"), ("LEASE", 0, 0)])
+@pytest.mark.parametrize(
+    ("target", "absent", "present"),
+    [("VERSION", 0, 2), ("CREATE", 0, 2), ("MOD", 0, 3), ("VALUE", b"", b"v"), ("LEASE", 0, 0)],
+)
 def test_compares_by_every_target_of_a_key_that_is_there_and_of_one_that_is_not(target, absent, present):
     store = Store()
     do(store, put(b"k", b"u"))
--- a/tests/grpc/scene.py
+++ b/tests/grpc/scene.py
@@ -60,7 +60,7 @@
     def send(self, data: bytes = b"", end: bool = False) -> Stream:
         size = 16_384
         for at in range(0, max(1, len(data)), size):
-            self.peer.h2.send_data(self.id, data[at:at + size], end and at + size >= len(data))
+            self.peer.h2.send_data(self.id, data[at : at + size], end and at + size >= len(data))
         self.peer.flush()
         return self
 
@@ -88,14 +88,20 @@
 class Peer:
     """A scripted end of one HTTP/2 connection."""
 
-    def __init__(self, loop: StillLoop, sock: socket.socket, client: bool,
-                 settings: dict | None = None) -> None:
+    def __init__(
+        self, loop: StillLoop, sock: socket.socket, client: bool, settings: dict | None = None
+    ) -> None:
         self.loop, self.sock = loop, sock
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.h2 = GracefulConnection(h2.config.H2Configuration(
-            client_side=client, header_encoding="utf-8", validate_outbound_headers=False,
-            normalize_outbound_headers=False))
+        self.h2 = GracefulConnection(
+            h2.config.H2Configuration(
+                client_side=client,
+                header_encoding="utf-8",
+                validate_outbound_headers=False,
+                normalize_outbound_headers=False,
+            )
+        )
         if settings:
             self.h2.local_settings.update(settings)
             self.h2.local_settings.acknowledge()
@@ -116,7 +122,7 @@
         self.out += self.h2.data_to_send()
         try:
             while self.out:
-                self.out = self.out[self.sock.send(self.out):]
+                self.out = self.out[self.sock.send(self.out) :]
         except BlockingIOError:
             pass
         except OSError:
@@ -146,8 +152,9 @@
         if not number:
             return
         stream = self.streams.setdefault(number, Stream(self, number))
-        if isinstance(event,
-                      h2.events.RequestReceived | h2.events.ResponseReceived | h2.events.TrailersReceived):
+        if isinstance(
+            event, h2.events.RequestReceived | h2.events.ResponseReceived | h2.events.TrailersReceived
+        ):
             stream.heads.append(event.headers)
         elif isinstance(event, h2.events.DataReceived):
             stream.body += event.data
@@ -158,14 +165,28 @@
         elif isinstance(event, h2.events.StreamReset):
             stream.reset = int(event.error_code)
 
-    def call(self, path: str = "/shop.Pay/Charge", message: bytes | None = b"hi", *extra: tuple[str, str],
-             timeout: str = "5S", end: bool = True) -> Stream:
+    def call(
+        self,
+        path: str = "/shop.Pay/Charge",
+        message: bytes | None = b"hi",
+        *extra: tuple[str, str],
+        timeout: str = "5S",
+        end: bool = True,
+    ) -> Stream:
         number = self.h2.get_next_available_stream_id()
         stream = self.streams[number] = Stream(self, number)
-        stream.headers([
-            (":method", "POST"), (":scheme", "http"), (":path", path), (":authority", "api"), ("te",
-                                                                                               "trailers"),
-            ("content-type", "application/grpc"), ("grpc-timeout", timeout), *extra])
+        stream.headers(
+            [
+                (":method", "POST"),
+                (":scheme", "http"),
+                (":path", path),
+                (":authority", "api"),
+                ("te", "trailers"),
+                ("content-type", "application/grpc"),
+                ("grpc-timeout", timeout),
+                *extra,
+            ]
+        )
         if message is not None:
             stream.send(framed(message), end)
         return stream
@@ -197,28 +218,60 @@
 class Scene:
     """A front, a host and a back; classes `safe` under /shop.Look, `charge` (never twice) under /shop.Pay."""
 
-    def __init__(self, boxes: int = 1, limits: FrontLimits | None = None, box: dict | None = None,
-                 back: Limits | None = None, attempts: int = 4, context=None, slots: int = 10) -> None:
+    def __init__(
+        self,
+        boxes: int = 1,
+        limits: FrontLimits | None = None,
+        box: dict | None = None,
+        back: Limits | None = None,
+        attempts: int = 4,
+        context=None,
+        slots: int = 10,
+    ) -> None:
         self.loop, pool = StillLoop(), BufferPool()
-        classes = [JobClass("safe", Effect.SAFE, 2 * SECOND, 10 * SECOND, 1.0),
-                   JobClass("charge", Effect.UNSAFE, 2 * SECOND, 10 * SECOND, 1.0)]
-        self.settings = Settings(classes, 1, 0, attempts, probes=True, max_retry_after=2 * SECOND,
-                                 report_source=ReportSource.ANSWERS)
+        classes = [
+            JobClass("safe", Effect.SAFE, 2 * SECOND, 10 * SECOND, 1.0),
+            JobClass("charge", Effect.UNSAFE, 2 * SECOND, 10 * SECOND, 1.0),
+        ]
+        self.settings = Settings(
+            classes,
+            1,
+            0,
+            attempts,
+            probes=True,
+            max_retry_after=2 * SECOND,
+            report_source=ReportSource.ANSWERS,
+        )
         self.discovery = DiscoveryClient(self.loop, pool, ("127.0.0.1", 9), self.settings, 0)
         self.back = Calls(self.loop, pool, self.discovery, self.settings, back or Limits(), slots)
         self.host = self.back.host = Host(self.loop, self.settings, 1, self.discovery, self.back)
         self.boxes = {f"s-{i}": Box(self.loop, box) for i in range(boxes)}
         self.list(*self.boxes)
-        routes = Routes([(Match("shop.Look"), Target(self.host, 0, 10 * SECOND)),
-                         (Match("shop.Pay"), Target(self.host, 1, 10 * SECOND))])
+        routes = Routes(
+            [
+                (Match("shop.Look"), Target(self.host, 0, 10 * SECOND)),
+                (Match("shop.Pay"), Target(self.host, 1, 10 * SECOND)),
+            ]
+        )
         self.health = Health(lambda service: service.startswith("shop."))
         self.front = Front(self.loop, pool, routes, limits or FrontLimits(), self.health, context)
         self.front.listen(("127.0.0.1", 0))
 
     def list(self, *names: str, phase: str = "active") -> None:
-        self.discovery.load_known({"revision": 1, "complete": True, "members": [
-            {"id": name, "host_port": "{}:{}".format(*self.boxes[name].sock.getsockname()), "phase": phase}
-            for name in names]})
+        self.discovery.load_known(
+            {
+                "revision": 1,
+                "complete": True,
+                "members": [
+                    {
+                        "id": name,
+                        "host_port": "{}:{}".format(*self.boxes[name].sock.getsockname()),
+                        "phase": phase,
+                    }
+                    for name in names
+                ],
+            }
+        )
 
     def client(self, settings: dict | None = None) -> Peer:
         return Peer(self.loop, socket.create_connection(self.front.address), True, settings)
@@ -228,12 +281,14 @@
 
     def arrived(self) -> Stream:
         """The next call that reaches any box."""
+
         def found():
             for box in self.boxes.values():
                 for stream in box.pull():
                     box._taken.add(stream)
                     return stream
             return None
+
         return self.loop.until(found)
 
     def again(self) -> Stream:
--- a/tests/grpc/test_calls.py
+++ b/tests/grpc/test_calls.py
@@ -121,8 +121,7 @@
 def test_unmarked_unavailable_after_headers_is_no_nack():
     scene = Scene(boxes=2)
     call = scene.call(CHARGE)
-    scene.arrived().whole().headers(HEAD).headers(
-        [("grpc-status", "14"), ("x-turned-away", "1")], end=True)
+    scene.arrived().whole().headers(HEAD).headers([("grpc-status", "14"), ("x-turned-away", "1")], end=True)
     assert call.status() == 14 and len(call.heads) == 2
     assert scene.untouched() and scene.done()
 
@@ -322,10 +321,14 @@
     assert scene.untouched()
 
 
-@pytest.mark.parametrize("extra, status", [
-    (("grpc-timeout", "1S"), Status.INTERNAL), (("grpc-previous-rpc-attempts", "many"), Status.INTERNAL),
-    (("x-large", "a" * 20_000), Status.RESOURCE_EXHAUSTED),
-])
+@pytest.mark.parametrize(
+    "extra, status",
+    [
+        (("grpc-timeout", "1S"), Status.INTERNAL),
+        (("grpc-previous-rpc-attempts", "many"), Status.INTERNAL),
+        (("x-large", "a" * 20_000), Status.RESOURCE_EXHAUSTED),
+    ],
+)
 def test_heads_that_can_t_be_used_get_a_clear_status(extra, status):
     scene = Scene()
     call = scene.call(SAFE, b"hi", extra)
@@ -527,10 +530,12 @@
     scene = Scene()
     client, real = scene.client(), socket.socket
     with monkeypatch.context() as patch:
+
         def poor(*args, fileno=None, **kwargs):
             if fileno is None:  # a new one; what was accepted has its descriptor
                 raise OSError(24, "Too many open files")
             return real(*args, fileno=fileno, **kwargs)
+
         patch.setattr("pulleyroute.net.http.socket.socket", poor)
         call = client.call(CHARGE, b"x")
         scene.loop.until(lambda: scene.host.held and not scene.back.open)
--- a/tests/grpc/test_campaign.py
+++ b/tests/grpc/test_campaign.py
@@ -29,8 +29,9 @@
 
 
 def test_a_dispatcher_that_takes_a_reset_for_a_proof_is_caught(monkeypatch):
-    monkeypatch.setattr(call, "judge_break", lambda code, never: decide.Word(
-        Outcome.FULL, Status.UNAVAILABLE, nacked=True))
+    monkeypatch.setattr(
+        call, "judge_break", lambda code, never: decide.Word(Outcome.FULL, Status.UNAVAILABLE, nacked=True)
+    )
     assert any("must never run twice" in line for line in play().broken)
 
 
@@ -53,9 +54,11 @@
 
 def test_a_dispatcher_that_forgets_the_drain_is_caught(monkeypatch):
     from pulleyroute.net.discovery import DiscoveryClient
+
     monkeypatch.setattr(DiscoveryClient, "active", lambda self, instance: True)
-    monkeypatch.setattr(Campaign, "_list", lambda self,
-                        real=Campaign._list: None if self.drained else real(self))
+    monkeypatch.setattr(
+        Campaign, "_list", lambda self, real=Campaign._list: None if self.drained else real(self)
+    )
     assert any("after its drain" in line for line in play(seed=3, calls=600).broken)
 
 
@@ -72,14 +75,28 @@
     assert play().statuses[0] < 0.7 * good
 
 
-@pytest.mark.parametrize("change, told", [
-    ({"endings": []}, "endings"), ({"endings": ["status", "status"]}, "endings"),
-    ({"endings": ["lost"]}, "endings"), ({"status": 13}, "status 13"),
-    ({"messages": b""}, "messages differ"), ({"ended_at": 2_000_001}, "after its deadline"),
-])
+@pytest.mark.parametrize(
+    "change, told",
+    [
+        ({"endings": []}, "endings"),
+        ({"endings": ["status", "status"]}, "endings"),
+        ({"endings": ["lost"]}, "endings"),
+        ({"status": 13}, "status 13"),
+        ({"messages": b""}, "messages differ"),
+        ({"ended_at": 2_000_001}, "after its deadline"),
+    ],
+)
 def test_each_thing_that_the_judge_looks_at_can_fail(change, told):
-    fine = {"id": "c", "unsafe": True, "timeout": 1_000_000, "began": 1_000_000, "endings": ["status"],
-            "status": 0, "messages": b"\0\0\0\0\1\0", "ended_at": 1_100_000}
+    fine = {
+        "id": "c",
+        "unsafe": True,
+        "timeout": 1_000_000,
+        "began": 1_000_000,
+        "endings": ["status"],
+        "status": 0,
+        "messages": b"\0\0\0\0\1\0",
+        "ended_at": 1_100_000,
+    }
     runs = [Taken("c", "b", Act("status", 0, 1), 1_000_000, 0, 1, told=True)]
     assert judge(Asked(**fine), runs) == []
     assert any(told in line for line in judge(Asked(**(fine | change)), runs))
--- a/tests/grpc/test_floods.py
+++ b/tests/grpc/test_floods.py
@@ -28,8 +28,9 @@
     """Whatever h2 would not send."""
     try:
         peer.sock.setblocking(True)
-        peer.sock.sendall(b"".join(frame if isinstance(frame,
-                                                       bytes) else frame.serialize() for frame in frames))
+        peer.sock.sendall(
+            b"".join(frame if isinstance(frame, bytes) else frame.serialize() for frame in frames)
+        )
     except OSError:
         pass
     finally:
@@ -50,9 +51,11 @@
     "priority": lambda peer: raw(peer, *[PriorityFrame(2 * i + 1, stream_weight=1) for i in range(4000)]),
     "empty data": lambda peer: (peer.call(SAFE, None), raw(peer, *[DataFrame(1, b"") for _ in range(1000)])),
     "window by the byte": lambda peer: raw(
-        peer, *[WindowUpdateFrame(0, window_increment=1) for _ in range(60_000)]),
+        peer, *[WindowUpdateFrame(0, window_increment=1) for _ in range(60_000)]
+    ),
     "continuation": lambda peer: raw(
-        peer, HeadersFrame(1, b"\x82"), *[ContinuationFrame(1, b"\x82") for _ in range(100)]),
+        peer, HeadersFrame(1, b"\x82"), *[ContinuationFrame(1, b"\x82") for _ in range(100)]
+    ),
 }
 
 
@@ -87,12 +90,18 @@
     assert not client.gone and not client.goaways
 
 
-@pytest.mark.parametrize("data", [
-    b"GET / HTTP/1.1\r\n\r\n", b"\0" * 64, b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + b"\xff" * 64,
-    b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + struct.pack(">I", 100)[1:] + b"\x04\x00\0\0\0\0" + b"\0" * 100,
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"\0" * 64,
+        b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + b"\xff" * 64,
+        b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + struct.pack(">I", 100)[1:] + b"\x04\x00\0\0\0\0" + b"\0" * 100,
+    ],
+)
 def test_what_is_no_http2_ends_its_connection(data):
     import socket
+
     scene = Scene()
     with socket.create_connection(scene.front.address) as sock:
         sock.sendall(data)
@@ -105,15 +114,26 @@
                 return False
             except ConnectionError:
                 return True
+
         scene.loop.until(over)
     assert not scene.front.connections
     assert scene.loop.errors == []
 
 
-@pytest.mark.parametrize("bad", [
-    [("Upper", "x")], [("bad name", "x")], [("a", "x\r\ny: z")], [("a", "x\0")], [("a", " x")], [("", "x")],
-    [(":path", "/shop.Look/Other")], [(":unknown", "x")], [("a", "1"), (":scheme", "http")],
-])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        [("Upper", "x")],
+        [("bad name", "x")],
+        [("a", "x\r\ny: z")],
+        [("a", "x\0")],
+        [("a", " x")],
+        [("", "x")],
+        [(":path", "/shop.Look/Other")],
+        [(":unknown", "x")],
+        [("a", "1"), (":scheme", "http")],
+    ],
+)
 def test_a_head_out_of_form_ends_its_stream_and_goes_nowhere(bad):
     scene = Scene()
     client = scene.client()
@@ -131,6 +151,7 @@
 
 def test_who_connects_and_says_nothing_is_let_go():
     import socket
+
     scene = Scene()
     with socket.create_connection(scene.front.address):
         scene.loop.until(lambda: scene.front.connections)
--- a/tests/grpc/test_peers.py
+++ b/tests/grpc/test_peers.py
@@ -25,15 +25,22 @@
     seen = Seen(0, "", [("a", "1"), ("a", "2")], [("t", "1")], [b"x"])
     case = Case("x", "Unary")
     assert differences(seen, seen, case) == []
-    for change in ({"code": 1}, {"details": "d"}, {"initial": [("a", "2"), ("a", "1")]}, {"trailing": []},
-                   {"messages": [b"y"]}):
-        fields = {name: getattr(seen, name) for name in ("code", "details", "initial", "trailing",
-                                                         "messages")}
+    for change in (
+        {"code": 1},
+        {"details": "d"},
+        {"initial": [("a", "2"), ("a", "1")]},
+        {"trailing": []},
+        {"messages": [b"y"]},
+    ):
+        fields = {
+            name: getattr(seen, name) for name in ("code", "details", "initial", "trailing", "messages")
+        }
         assert len(differences(seen, Seen(**fields | change), case)) == 1
 
 
 def test_aio_on_both_sides(tmp_path):
     """The four kinds with grpc.aio, and a cancel that reaches the handler."""
+
     async def scene():
         cancelled = asyncio.Event()
 
@@ -60,10 +67,12 @@
                         yield each
                     await context.abort(grpc.StatusCode.ABORTED, "enough", (("x-end", "1"),))
 
-                return {"Unary": grpc.unary_unary_rpc_method_handler(unary),
-                        "Gather": grpc.stream_unary_rpc_method_handler(gather),
-                        "Spread": grpc.unary_stream_rpc_method_handler(spread),
-                        "Echo": grpc.stream_stream_rpc_method_handler(echo)}[details.method.rsplit("/", 1)[1]]
+                return {
+                    "Unary": grpc.unary_unary_rpc_method_handler(unary),
+                    "Gather": grpc.stream_unary_rpc_method_handler(gather),
+                    "Spread": grpc.unary_stream_rpc_method_handler(spread),
+                    "Echo": grpc.stream_stream_rpc_method_handler(echo),
+                }[details.method.rsplit("/", 1)[1]]
 
         server = grpc.aio.server()
         server.add_generic_rpc_handlers((Handler(),))
--- a/tests/grpc/test_pure.py
+++ b/tests/grpc/test_pure.py
@@ -22,8 +22,14 @@
 from pulleyroute.net.floods import ALLOWED, Floods
 from pulleyroute.net.host import Ending
 
-GOOD = [(b":method", b"POST"), (b":scheme", b"http"), (b":path", b"/a.B/C"), (b":authority", b"x"),
-        (b"te", b"trailers"), (b"content-type", b"application/grpc+proto")]
+GOOD = [
+    (b":method", b"POST"),
+    (b":scheme", b"http"),
+    (b":path", b"/a.B/C"),
+    (b":authority", b"x"),
+    (b"te", b"trailers"),
+    (b"content-type", b"application/grpc+proto"),
+]
 
 
 @given(st.integers(0, 10**17))
@@ -41,24 +47,47 @@
 
 
 def test_a_head_is_read_and_passed_on_without_what_belongs_to_the_hop():
-    head = read_head([*GOOD, (b"x-a", b"1"), (b"grpc-timeout", b"2S"), (b"grpc-previous-rpc-attempts", b"2"),
-                      (b"grpc-encoding", b"gzip"), (b"connection", b"close"), (b"x-a", b"2"),
-                      (b"authorization", b"secret")])
+    head = read_head(
+        [
+            *GOOD,
+            (b"x-a", b"1"),
+            (b"grpc-timeout", b"2S"),
+            (b"grpc-previous-rpc-attempts", b"2"),
+            (b"grpc-encoding", b"gzip"),
+            (b"connection", b"close"),
+            (b"x-a", b"2"),
+            (b"authorization", b"secret"),
+        ]
+    )
     assert (head.service, head.method, head.timeout, head.attempts) == (b"a.B", b"C", 2_000_000, 2)
     out = request_headers(head, b"https", 1_500_000, 3)
     assert [(name, value) for name, value, *_ in out] == [
-        (b":method", b"POST"), (b":scheme", b"https"), (b":path", b"/a.B/C"), (b":authority", b"x"),
-        (b"te", b"trailers"), (b"grpc-timeout", b"1500000u"), (b"grpc-previous-rpc-attempts", b"3"),
-        (b"content-type", b"application/grpc+proto"), (b"x-a", b"1"), (b"grpc-encoding", b"gzip"),
-        (b"x-a", b"2"), (b"authorization", b"secret")]
+        (b":method", b"POST"),
+        (b":scheme", b"https"),
+        (b":path", b"/a.B/C"),
+        (b":authority", b"x"),
+        (b"te", b"trailers"),
+        (b"grpc-timeout", b"1500000u"),
+        (b"grpc-previous-rpc-attempts", b"3"),
+        (b"content-type", b"application/grpc+proto"),
+        (b"x-a", b"1"),
+        (b"grpc-encoding", b"gzip"),
+        (b"x-a", b"2"),
+        (b"authorization", b"secret"),
+    ]
     assert out[-1][2:] == (True,)  # kept out of the compression's tables
 
 
-@pytest.mark.parametrize("change, http, status", [
-    ({b":method": b"GET"}, 405, Status.INTERNAL), ({b"content-type": b"text/html"}, 415, Status.UNKNOWN),
-    ({b"content-type": b"application/grpcweb"}, 415, Status.UNKNOWN),
-    ({b":path": b"/only"}, 200, Status.UNIMPLEMENTED), ({b":path": b"*"}, 200, Status.UNIMPLEMENTED),
-])
+@pytest.mark.parametrize(
+    "change, http, status",
+    [
+        ({b":method": b"GET"}, 405, Status.INTERNAL),
+        ({b"content-type": b"text/html"}, 415, Status.UNKNOWN),
+        ({b"content-type": b"application/grpcweb"}, 415, Status.UNKNOWN),
+        ({b":path": b"/only"}, 200, Status.UNIMPLEMENTED),
+        ({b":path": b"*"}, 200, Status.UNIMPLEMENTED),
+    ],
+)
 def test_a_head_that_is_no_call_is_refused(change, http, status):
     with pytest.raises(BadHead) as caught:
         read_head([(name, change.get(name, value)) for name, value in GOOD])
@@ -75,18 +104,53 @@
 def test_statuses_from_elsewhere():
     assert [read_status(text) for text in (b"0", b"16", b"17", b"-1", b"x", b"")] == [0, 16, 2, 2, 2, 2]
     assert [from_http(code) for code in (400, 401, 403, 404, 429, 502, 503, 504, 500, 302)] == [
-        13, 16, 7, 12, 14, 14, 14, 14, 2, 2]
+        13,
+        16,
+        7,
+        12,
+        14,
+        14,
+        14,
+        14,
+        2,
+        2,
+    ]
     assert [from_reset(code) for code in (None, 0, 1, 2, 3, 5, 6, 7, 8, 9, 11, 12)] == [
-        14, 13, 13, 13, 13, 13, 13, 14, 1, 13, 8, 7]
+        14,
+        13,
+        13,
+        13,
+        13,
+        13,
+        13,
+        14,
+        1,
+        13,
+        8,
+        7,
+    ]
 
 
 def test_the_most_exact_route_wins_whatever_the_order():
-    routes = Routes([(Match(prefix=""), 0), (Match(prefix="a."), 1), (Match(prefix="a.b"), 2),
-                     (Match("a.b.C"), 3),
-                     (Match("a.b.C", "Do"), 4)])
-    assert [routes.find(*each) for each in ((b"a.b.C", b"Do"), (b"a.b.C", b"Else"), (b"a.b.D", b"Do"),
-                                            (b"a.x", b"Do"),
-                                            (b"z", b"Do"))] == [4, 3, 2, 1, 0]
+    routes = Routes(
+        [
+            (Match(prefix=""), 0),
+            (Match(prefix="a."), 1),
+            (Match(prefix="a.b"), 2),
+            (Match("a.b.C"), 3),
+            (Match("a.b.C", "Do"), 4),
+        ]
+    )
+    assert [
+        routes.find(*each)
+        for each in (
+            (b"a.b.C", b"Do"),
+            (b"a.b.C", b"Else"),
+            (b"a.b.D", b"Do"),
+            (b"a.x", b"Do"),
+            (b"z", b"Do"),
+        )
+    ] == [4, 3, 2, 1, 0]
     assert Routes([(Match("a"), 1)]).find(b"ab", b"c") is None
     assert routes.serves(b"a.b.C") and not Routes([(Match("a"), 1)]).serves(b"b")
     for wrong in ([(Match("a"), 1), (Match("a"), 2)], [(Match(), 1)], [(Match("a", prefix="b"), 1)]):
@@ -142,8 +206,7 @@
     assert not judge_trailers(200, trailers(5, nack), **free).nacked
     committed = judge_trailers(200, trailers(14, nack, wait), **free | {"committed": True})
     assert committed.ending is Ending.FAILED and not committed.nacked and not committed.hold
-    assert judge_trailers(200, trailers(14, wait),
-                          **free | {"unsafe": True}).hold == 0  # it goes out no more
+    assert judge_trailers(200, trailers(14, wait), **free | {"unsafe": True}).hold == 0  # it goes out no more
     assert judge_trailers(200, trailers(14, wait), **free | {"last": True}).hold == 0
     assert judge_trailers(200, trailers(14, wait), **free | {"left": 100_000}).ending is Ending.FAILED
     assert judge_trailers(503, [], **free).status is Status.UNAVAILABLE
@@ -158,19 +221,24 @@
 
 def test_load_reports_in_all_three_forms():
     import base64
+
     report = OrcaReport(application_utilization=0.25, rps_fractional=3)
     report.named_metrics["queue"] = 2
     coded = base64.b64encode(report.SerializeToString()).rstrip(b"=")
-    for name, value in ((b"endpoint-load-metrics-bin", coded),
-                        (b"endpoint-load-metrics", b"TEXT application_utilization=0.25,queue=2"),
-                        (b"endpoint-load-metrics",
-                         b'JSON {"application_utilization":0.25,"named_metrics":{"queue":2}}')):
+    for name, value in (
+        (b"endpoint-load-metrics-bin", coded),
+        (b"endpoint-load-metrics", b"TEXT application_utilization=0.25,queue=2"),
+        (b"endpoint-load-metrics", b'JSON {"application_utilization":0.25,"named_metrics":{"queue":2}}'),
+    ):
         load = read_load([(name, value)], 8)
         assert load.free_slots == 6 and load.queued == 2
-    for name, value in ((b"endpoint-load-metrics-bin", b"!!"), (b"endpoint-load-metrics", b"TEXT a=b"),
-                        (b"endpoint-load-metrics", b"JSON ["), (b"endpoint-load-metrics",
-                                                                b"TEXT cpu_utilization=nan"),
-                        (b"other", b"")):
+    for name, value in (
+        (b"endpoint-load-metrics-bin", b"!!"),
+        (b"endpoint-load-metrics", b"TEXT a=b"),
+        (b"endpoint-load-metrics", b"JSON ["),
+        (b"endpoint-load-metrics", b"TEXT cpu_utilization=nan"),
+        (b"other", b""),
+    ):
         assert read_load([(name, value)], 8) is None
 
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -27,14 +27,32 @@
 SAFE, KEYED, UNSAFE = 0, 1, 2
 CLASSES = [
     JobClass("safe", Effect.SAFE, aim=SECOND, give_up=10 * SECOND, worth=1.0, stretch=2.0),
-    JobClass("keyed", Effect.KEYED, aim=SECOND, give_up=10 * SECOND, worth=1.0, scope=Scope.ZONE,
-             repeat_window=4 * SECOND, stretch=2.0),
+    JobClass(
+        "keyed",
+        Effect.KEYED,
+        aim=SECOND,
+        give_up=10 * SECOND,
+        worth=1.0,
+        scope=Scope.ZONE,
+        repeat_window=4 * SECOND,
+        stretch=2.0,
+    ),
     JobClass("unsafe", Effect.UNSAFE, aim=SECOND, give_up=10 * SECOND, worth=1.0, stretch=2.0),
 ]
 SETTINGS = Settings(
-    classes=CLASSES, dispatchers=2, me=0, max_attempts=4, cancels=True, second_copies=True,
-    progress=SECOND, tells_start=True, drain_grace=SECOND // 4, tip_multiple=3.0, tip_window=SECOND,
-    cold_share=0.2, ramp_time=20 * SECOND,
+    classes=CLASSES,
+    dispatchers=2,
+    me=0,
+    max_attempts=4,
+    cancels=True,
+    second_copies=True,
+    progress=SECOND,
+    tells_start=True,
+    drain_grace=SECOND // 4,
+    tip_multiple=3.0,
+    tip_window=SECOND,
+    cold_share=0.2,
+    ramp_time=20 * SECOND,
 )
 
 
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -63,8 +63,9 @@
 
 
 def pytest_terminal_summary(terminalreporter, config):
-    ended = {report.nodeid: way for way in ("xfailed", "xpassed")
-             for report in terminalreporter.stats.get(way, [])}
+    ended = {
+        report.nodeid: way for way in ("xfailed", "xpassed") for report in terminalreporter.stats.get(way, [])
+    }
     for red in config.stash.get(_REDS, []):
         if ended.get(red.test) == "xfailed":
             terminalreporter.write_line(f"known red: {red.test}: {red.cause} (issue {red.issue})")
--- a/tests/lab/test_fleet_log.py
+++ b/tests/lab/test_fleet_log.py
@@ -18,7 +18,8 @@
     ],
     "n1": [
         (0.25, "DEBUG " + PUSH.format("c", 0, "s-1", 0, "0.0", 700_000, 450_000)),
-        (0.26, "DEBUG list call=watch"), (0.27, "DEBUG connect instance=s-1"),
+        (0.26, "DEBUG list call=watch"),
+        (0.27, "DEBUG connect instance=s-1"),
         (0.30, "(3 lines left out)"),
         (5.00, "DEBUG " + PUSH.format("d", 0, "s-1", 0, "1.0", 900_000, 5_200_000)),
     ],
@@ -28,22 +29,30 @@
 @pytest.fixture
 def fleet(tmp_path):
     for name, lines in LOGS.items():
-        (tmp_path / f"{name}.log").write_text("".join(f"{at:.3f} 2026-12-01T00:00:00.000 {text}\n"
-                                                      for at, text in lines))
+        (tmp_path / f"{name}.log").write_text(
+            "".join(f"{at:.3f} 2026-12-01T00:00:00.000 {text}\n" for at, text in lines)
+        )
     return fleet_log.load(tmp_path)
 
 
 def test_calls_are_counted_over_all_dispatchers_with_their_peak_second(fleet):
     assert fleet_log.calls(fleet) == {
-        "first pushes": (4, 3, 2), "resubmissions": (1, 1, 1), "pushes to cold": (4, 3, 2),
-        "probes": (1, 1, 1), "list calls": (1, 1, 1), "new connections": (1, 1, 1),
+        "first pushes": (4, 3, 2),
+        "resubmissions": (1, 1, 1),
+        "pushes to cold": (4, 3, 2),
+        "probes": (1, 1, 1),
+        "list calls": (1, 1, 1),
+        "new connections": (1, 1, 1),
     }
     assert fleet_log.crossings(fleet) == {("read", "first"): (4, 0), ("read", "again"): (1, 1)}
 
 
 def test_what_a_push_found_is_told_by_the_reading_it_rested_on(fleet):
-    assert fleet_log.found(fleet) == {("room", "< 0.5 s"): (1, 1), ("full", "< 1 s"): (2, 0),
-                                      ("room", "< 1 s"): (1, 0)}
+    assert fleet_log.found(fleet) == {
+        ("room", "< 0.5 s"): (1, 1),
+        ("full", "< 1 s"): (2, 0),
+        ("room", "< 1 s"): (1, 0),
+    }
 
 
 def test_spread_and_cold_windows_go_across_dispatchers(fleet):
--- a/tests/lab/test_load.py
+++ b/tests/lab/test_load.py
@@ -52,8 +52,24 @@
     assert gaps == {0.02} and len(even) in (99, 100)
 
 
-@pytest.mark.parametrize("text", ["", "x", "10", "10/0s", "-5/1s", "1..2/3s", "99999/1s", "1/9999s", "burst:",
-                                  "burst:99999", "10~5/3s", "10~5@0s/3s", "1/1s;1/1s"])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "x",
+        "10",
+        "10/0s",
+        "-5/1s",
+        "1..2/3s",
+        "99999/1s",
+        "1/9999s",
+        "burst:",
+        "burst:99999",
+        "10~5/3s",
+        "10~5@0s/3s",
+        "1/1s;1/1s",
+    ],
+)
 def test_a_shape_that_is_none_is_told(text):
     with pytest.raises(BadShape):
         read_shape(text)
@@ -124,6 +140,7 @@
         finally:
             await target.close()
             listener.close()
+
     return asyncio.run(run())
 
 
@@ -132,7 +149,13 @@
     report = against(Server(), lambda target: closed_loop(target, 4, 60, mix, 1, 5.0, most=300))
     endings = {kind: row.endings for kind, row in report.kinds.items()}
     assert {kind: next(iter(each)) for kind, each in endings.items()} == {
-        "200": SERVED, "429": REFUSED, "503": REFUSED, "502": FAILED, "404": FAILED, "cut": LOST}
+        "200": SERVED,
+        "429": REFUSED,
+        "503": REFUSED,
+        "502": FAILED,
+        "404": FAILED,
+        "cut": LOST,
+    }
     assert all(len(each) == 1 for each in endings.values())
     assert sum(sum(each.values()) for each in endings.values()) == 300 == report.due
 
@@ -147,24 +170,30 @@
     """A closed loop of one client would see the stall once: "coordinated omission"."""
     shape, server = read_shape("100/1s"), Server(pause=0.5, after=20)
     report = against(server, lambda target: open_loop(target, shape, ONE, 1, 10.0, even=True))
-    held = sum(1 for each in report.kinds["a"].all.get_recorded_iterator() for _ in range(
-        each.count_at_value_iterated_to if each.value_iterated_to > 100_000 else 0))
+    held = sum(
+        1
+        for each in report.kinds["a"].all.get_recorded_iterator()
+        for _ in range(each.count_at_value_iterated_to if each.value_iterated_to > 100_000 else 0)
+    )
     assert held >= 30 and report.kinds["a"].endings[SERVED] == report.due and not report.unsent
 
 
 def test_calls_are_loaded_too_and_the_report_can_be_read_by_a_program():
     box = CallBox("box", Book())
     try:
+
         async def play():
             target = Calls(box.address, metadata=(("x-status", "5"),))
             good = Calls(box.address)
             try:
-                return (await open_loop(good, read_shape("burst:40"), read_mix("test.S,test.S/Unary"), 1,
-                                        30.0),
-                        await closed_loop(target, 2, 60, read_mix("test.S"), 1, 30.0, most=10))
+                return (
+                    await open_loop(good, read_shape("burst:40"), read_mix("test.S,test.S/Unary"), 1, 30.0),
+                    await closed_loop(target, 2, 60, read_mix("test.S"), 1, 30.0, most=10),
+                )
             finally:
                 await target.close()
                 await good.close()
+
         first, second = asyncio.run(play())
         assert sum(row["served"] for row in first.rows()) == 40 == first.due and len(first.rows()) == 2
         assert second.rows()[0]["failed"] == 10 and second.rows()[0]["histogram"]
--- a/tests/lab/test_referee.py
+++ b/tests/lab/test_referee.py
@@ -21,10 +21,17 @@
 )
 
 MS, S = 1000, 1_000_000
-KINDS = {"look": Kind("safe", 5 * S), "charge": Kind("unsafe", 5 * S),
-         "voucher": Kind("keyed", 5 * S, "cell", 2 * S)}
-PLACES = {"a": Place("leicester", 1), "b": Place("leicester", 1), "c": Place("leicester", 2),
-          "d": Place("coventry", 1)}
+KINDS = {
+    "look": Kind("safe", 5 * S),
+    "charge": Kind("unsafe", 5 * S),
+    "voucher": Kind("keyed", 5 * S, "cell", 2 * S),
+}
+PLACES = {
+    "a": Place("leicester", 1),
+    "b": Place("leicester", 1),
+    "c": Place("leicester", 2),
+    "d": Place("coventry", 1),
+}
 COLD = Figures(cold_share=0.25, ramp=8 * S, multiple=4.0, window=3 * S)
 
 
@@ -34,25 +41,51 @@
 
 def run(kind, *sends, answer="served", proved=()):
     """A request that went to these boxes a second apart."""
-    return [Asked(0, "r", kind), *(Sent((i + 1) * S // 2, "r", i, box) for i, box in enumerate(sends)),
-            *(Proved((i + 1) * S // 2 + 1, "r", i) for i in proved),
-            Answered(4 * S, "r", answer)]
-
-
-@pytest.mark.parametrize("events, broken", [
-    (run("charge", "a"), []), (run("look", "a", "b", "d"), []), (run("charge", "a", "b", proved=[0]), []),
-    (run("charge", "a", "b"), [Rule.NO_REPEAT]), (run("charge", "a", "b", "c", proved=[1]),
-                                                  [Rule.NO_REPEAT] * 2),
-    (run("charge", "a", answer="failed"), []), (run("charge", "a", answer="refused"), [Rule.NO_REPEAT]),
-    (run("charge", "a", answer="refused", proved=[0]), []), (run("look", "a", answer="refused"), []),
-    (run("voucher", "a", "b"), []), (run("voucher", "a", "c"), [Rule.NO_REPEAT]),
-    (run("voucher", "a", "d"), [Rule.NO_REPEAT]),
-    ([Asked(0, "r", "voucher"), Sent(0, "r", 0, "a"), Sent(2 * S + 60 * MS, "r", 1, "b"),
-      Answered(3 * S, "r", "served")], [Rule.NO_REPEAT]),
-    # Proof that comes after the resend was not there when it was needed.
-    ([Asked(0, "r", "charge"), Sent(1, "r", 0, "a"), Sent(2, "r", 1, "b"), Proved(3, "r", 0),
-      Answered(4, "r", "served")], [Rule.NO_REPEAT]),
-])
+    return [
+        Asked(0, "r", kind),
+        *(Sent((i + 1) * S // 2, "r", i, box) for i, box in enumerate(sends)),
+        *(Proved((i + 1) * S // 2 + 1, "r", i) for i in proved),
+        Answered(4 * S, "r", answer),
+    ]
+
+
+@pytest.mark.parametrize(
+    "events, broken",
+    [
+        (run("charge", "a"), []),
+        (run("look", "a", "b", "d"), []),
+        (run("charge", "a", "b", proved=[0]), []),
+        (run("charge", "a", "b"), [Rule.NO_REPEAT]),
+        (run("charge", "a", "b", "c", proved=[1]), [Rule.NO_REPEAT] * 2),
+        (run("charge", "a", answer="failed"), []),
+        (run("charge", "a", answer="refused"), [Rule.NO_REPEAT]),
+        (run("charge", "a", answer="refused", proved=[0]), []),
+        (run("look", "a", answer="refused"), []),
+        (run("voucher", "a", "b"), []),
+        (run("voucher", "a", "c"), [Rule.NO_REPEAT]),
+        (run("voucher", "a", "d"), [Rule.NO_REPEAT]),
+        (
+            [
+                Asked(0, "r", "voucher"),
+                Sent(0, "r", 0, "a"),
+                Sent(2 * S + 60 * MS, "r", 1, "b"),
+                Answered(3 * S, "r", "served"),
+            ],
+            [Rule.NO_REPEAT],
+        ),
+        # Proof that comes after the resend was not there when it was needed.
+        (
+            [
+                Asked(0, "r", "charge"),
+                Sent(1, "r", 0, "a"),
+                Sent(2, "r", 1, "b"),
+                Proved(3, "r", 0),
+                Answered(4, "r", "served"),
+            ],
+            [Rule.NO_REPEAT],
+        ),
+    ],
+)
 def test_repeats(events, broken):
     assert rules(*events) == broken
 
@@ -83,8 +116,11 @@
         events = [Booted(0, "a", 2.0)]  # two cores: at 0.25 it falls at 4 x 0.5 x 3 s = 6 s of work
         for i in range(count):
             when = at + i * apart
-            events += [Asked(when, f"r{i}", "look"), Sent(when, f"r{i}", 0, "a", work),
-                       Answered(when, f"r{i}", "served")]
+            events += [
+                Asked(when, f"r{i}", "look"),
+                Sent(when, f"r{i}", 0, "a", work),
+                Answered(when, f"r{i}", "served"),
+            ]
         return rules(*events, figures=COLD)
 
     assert pushed(60, 0) == [] and pushed(80, 0) == [Rule.COLD]
--- a/tests/net/scene.py
+++ b/tests/net/scene.py
@@ -24,17 +24,34 @@
 MS = 1000
 SECOND = 1_000_000
 INFO = {
-    "balancers": 1, "me": 0, "membership-mode": "on_request", "areas": ["a", "b"], "flavors": ["new", "old"],
-    "caps": {"max-attempts": 4, "probes": False, "cancelling": True, "dial-timeout": 250000,
-             "keepalive": 5000000, "retry-after": True, "max-retry-after": 2000000},
+    "balancers": 1,
+    "me": 0,
+    "membership-mode": "on_request",
+    "areas": ["a", "b"],
+    "flavors": ["new", "old"],
+    "caps": {
+        "max-attempts": 4,
+        "probes": False,
+        "cancelling": True,
+        "dial-timeout": 250000,
+        "keepalive": 5000000,
+        "retry-after": True,
+        "max-retry-after": 2000000,
+    },
     "classes": [
         {"name": "read", "effect": "read_like", "aim": 1000000, "give-up": 5000000},
         {"name": "charge", "effect": "non_idempotent", "aim": 1000000, "give-up": 5000000},
     ],
     "family-info": {"report-x0": "free slots", "tells-start": True},
     "load-report": {"fields": ["q", "rif", "x0"], "via": "pull"},
-    "obligations": {"ask-every": 10000000, "drain-grace": 1500000, "fall": 3000000, "cold-share": 0.3,
-                    "ramp-time": 8000000, "tip-multiple": 4.0},
+    "obligations": {
+        "ask-every": 10000000,
+        "drain-grace": 1500000,
+        "fall": 3000000,
+        "cold-share": 0.3,
+        "ramp-time": 8000000,
+        "tip-multiple": 4.0,
+    },
 }
 GIVEN_TIME = 5  # real seconds that a test waits for loopback at most; only a broken program needs them
 
@@ -93,6 +110,7 @@
 
     def message(self) -> tuple[bytes, bytes]:
         """The next whole message: its head and its body."""
+
         def whole():
             head, mark, rest = self.pull().partition(b"\r\n\r\n")
             length = 0
@@ -103,6 +121,7 @@
                 self.data = rest[length:]
                 return head, rest[:length]
             return None
+
         return self.loop.until(whole)
 
     def close(self) -> None:
@@ -126,6 +145,7 @@
                 return self.peers[-1]
             except BlockingIOError:
                 return None
+
         return self.loop.until(taken)
 
     def untouched(self) -> bool:
@@ -142,8 +162,16 @@
 
     made: ClassVar[list[Scene]] = []  # by the test that runs
 
-    def __init__(self, instances: int = 1, most: int = 50, most_jobs: int = 30,
-                 beside: Scene | None = None, listens: bool = True, info: dict = INFO, **caps) -> None:
+    def __init__(
+        self,
+        instances: int = 1,
+        most: int = 50,
+        most_jobs: int = 30,
+        beside: Scene | None = None,
+        listens: bool = True,
+        info: dict = INFO,
+        **caps,
+    ) -> None:
         """`beside`: another process of the same dispatcher, in the same world."""
         info = {**info, "caps": {**info["caps"], **caps}}
         self.settings: Settings = read_settings(info)[0]
@@ -157,9 +185,11 @@
         self.discovery.load_known(self.table(*self.runners))
         self.ledger = Ledger(1024 * 1024)
         self.clients = ServiceClient(
-            self.loop, pool, self.ledger, self.host, self.settings, most, most_jobs, self.figures)
-        self.parts = Parts(None, self.ledger, self.discovery, self.instances, self.clients, self.host,
-                           self.figures)
+            self.loop, pool, self.ledger, self.host, self.settings, most, most_jobs, self.figures
+        )
+        self.parts = Parts(
+            None, self.ledger, self.discovery, self.instances, self.clients, self.host, self.figures
+        )
         self.door = Management(self.loop, pool, verbs(self.parts))
         self.door.listen(("127.0.0.1", 0))
         Scene.made.append(self)
@@ -180,9 +210,23 @@
         self.clients.listen(("127.0.0.1", 0))
 
     def table(self, *names: str, phase: str = "active", complete: bool = True, revision: int = 1) -> dict:
-        return {"revision": revision, "complete": complete, "members": [
-            {"id": name, "host_port": "{}:{}".format(*self.runners[name].address), "locality": "a",
-             "flavor": "new", "cell": 0, "phase": phase, "size": 1.0, "up_since_ms": 0} for name in names]}
+        return {
+            "revision": revision,
+            "complete": complete,
+            "members": [
+                {
+                    "id": name,
+                    "host_port": "{}:{}".format(*self.runners[name].address),
+                    "locality": "a",
+                    "flavor": "new",
+                    "cell": 0,
+                    "phase": phase,
+                    "size": 1.0,
+                    "up_since_ms": 0,
+                }
+                for name in names
+            ],
+        }
 
     def client(self) -> Peer:
         return Peer(self.loop, socket.create_connection(self.clients.address))
@@ -223,11 +267,20 @@
         each = [re.fullmatch(r"app\.([a-z_.]+):(\d+)\|[cg]", line) for line in lines]
         return {match[1]: int(match[2]) for match in each if int(match[2])}
 
-    def ask(self, path: str = "/read", txn: str = "t1", remaining: object = 4000, body: bytes = b"hi",
-            peer: Peer | None = None) -> Peer:
+    def ask(
+        self,
+        path: str = "/read",
+        txn: str = "t1",
+        remaining: object = 4000,
+        body: bytes = b"hi",
+        peer: Peer | None = None,
+    ) -> Peer:
         peer = peer or self.client()
-        peer.send(f"POST {path} HTTP/1.1\r\nHost: api\r\nX-Txn: {txn}\r\nX-Remaining-Ms: {remaining}\r\n"
-                  f"Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        peer.send(
+            f"POST {path} HTTP/1.1\r\nHost: api\r\nX-Txn: {txn}\r\nX-Remaining-Ms: {remaining}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n".encode()
+            + body
+        )
         return peer
 
     def call(self, **fields: object) -> bytes:
--- a/tests/net/test_deployments.py
+++ b/tests/net/test_deployments.py
@@ -15,8 +15,16 @@
 
 
 ANSWERS = {"via": "piggyback", "fields": ["busy", "q", "rate", "x0"]}
-KEYED = [{"name": "read", "effect": "idempotency_key", "key-scope": "all", "repeat-window": 2000000,
-          "aim": 1000000, "give-up": 5000000}]
+KEYED = [
+    {
+        "name": "read",
+        "effect": "idempotency_key",
+        "key-scope": "all",
+        "repeat-window": 2000000,
+        "aim": 1000000,
+        "give-up": 5000000,
+    }
+]
 
 
 def worker(scene, name):
@@ -27,8 +35,15 @@
     scene = Scene(info=settings(load=ANSWERS))
     client = scene.ask()
     scene.take("t1")
-    scene.call(**{"id": "t1", "from": "s-0", "state": "done", "result": "r",
-                  "load": {"util": 0.5, "queue": 0, "qps": 8, "x0": 3}})
+    scene.call(
+        **{
+            "id": "t1",
+            "from": "s-0",
+            "state": "done",
+            "result": "r",
+            "load": {"util": 0.5, "queue": 0, "qps": 8, "x0": 3},
+        }
+    )
     assert b" 200 " in client.message()[0] and worker(scene, "s-0").free == 3
 
 
@@ -37,8 +52,10 @@
     client = scene.ask()
     _, peer = scene.take("t1", accept=False)
     assert client.sock and not worker(scene, "s-0").signature
-    peer.send(b"HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nX-Pressure: util=0.9,queue=2,qps=8,x0=0.25\r\n"
-              b"Content-Length: 0\r\n\r\n")
+    peer.send(
+        b"HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nX-Pressure: util=0.9,queue=2,qps=8,x0=0.25\r\n"
+        b"Content-Length: 0\r\n\r\n"
+    )
     scene.loop.until(lambda: worker(scene, "s-0").signature)
     assert worker(scene, "s-0").signature.queued == 2
 
@@ -48,8 +65,10 @@
     scene = Scene(info=settings(load=ANSWERS))
     client = scene.ask()
     _, peer = scene.take("t1", accept=False)
-    peer.send(b"HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nX-Pressure: " + spoilt + b"\r\n"
-              b"Content-Length: 0\r\n\r\n")
+    peer.send(
+        b"HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nX-Pressure: " + spoilt + b"\r\n"
+        b"Content-Length: 0\r\n\r\n"
+    )
     scene.loop.until(lambda: scene.host._by_txn["t1"].attempts[0].nacked)
     assert worker(scene, "s-0").most == 0 and not scene.host.faults and not scene.loop.errors
     assert len([line for line in logged if "s-0: its load report is spoilt" in line]) == 1
@@ -118,8 +137,9 @@
         peer.send(TAKEN)
         scene.loop.until(lambda: scene.host._by_txn["t1"].attempts[0].accepted)
         scene.loop.skip(waited)
-        scene.call(**{"id": "t1", "from": scene.host._by_txn["t1"].attempts[0].instance.decode(),
-                      "state": "lost"})
+        scene.call(
+            **{"id": "t1", "from": scene.host._by_txn["t1"].attempts[0].instance.decode(), "state": "lost"}
+        )
     else:
         peer.close()
         scene.loop.until(lambda: scene.host._by_txn["t1"].attempts[0].over)
--- a/tests/net/test_discovery.py
+++ b/tests/net/test_discovery.py
@@ -36,8 +36,11 @@
     scene.discovery.watch(True)
     peer = scene.discovery_peer.accept()
     assert b"GET /api/targets?watch=1&from=1 " in peer.message()[0]
-    lines = [json.dumps(scene.table("s-0", phase="leaving", complete=False, revision=2)), "",
-             json.dumps(scene.table("s-1", revision=3))]
+    lines = [
+        json.dumps(scene.table("s-0", phase="leaving", complete=False, revision=2)),
+        "",
+        json.dumps(scene.table("s-1", revision=3)),
+    ]
     data = "".join(line + "\n" for line in lines).encode()
     at = sorted({p % len(data) for p in places} | {0, len(data)})
     peer.send(CHUNKS + b"".join(chunk(data[a:b]) for a, b in pairwise(at)))
@@ -68,10 +71,17 @@
     assert [n.kind for n in news] == [ListKind.FAILED]
 
 
-@pytest.mark.parametrize("answer", [
-    b"", b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", CHUNKS + b"0\r\n\r\n", CHUNKS + chunk(b"{}\n"),
-    CHUNKS + chunk(b"garbage\n"), CHUNKS + chunk(b'{"revision":1,"complete":true,"members":[{}]}\n'),
-])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"",
+        b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
+        CHUNKS + b"0\r\n\r\n",
+        CHUNKS + chunk(b"{}\n"),
+        CHUNKS + chunk(b"garbage\n"),
+        CHUNKS + chunk(b'{"revision":1,"complete":true,"members":[{}]}\n'),
+    ],
+)
 @pytest.mark.parametrize("way", ["watch", "fetch"])
 def test_failed_calls_are_told_and_leave_the_list_as_it_was(answer, way):
     scene = Scene()
@@ -153,10 +163,17 @@
 
 
 @settings(derandomize=True, max_examples=200, deadline=None)
-@given(st.recursive(
-    st.none() | st.booleans() | st.floats() | st.text(max_size=4),
-    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.sampled_from(
-        ["revision", "complete", "members", "id", "phase", "host_port", "size", "cell"]), inner, max_size=6)))
+@given(
+    st.recursive(
+        st.none() | st.booleans() | st.floats() | st.text(max_size=4),
+        lambda inner: st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(["revision", "complete", "members", "id", "phase", "host_port", "size", "cell"]),
+            inner,
+            max_size=6,
+        ),
+    )
+)
 def test_garbage_in_a_list_is_a_value_error(data):
     names = SCENE.discovery
     for item in (data, {"revision": 1, "complete": True, "members": [data]}):
@@ -170,12 +187,21 @@
 CONFIG = {"name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "ff", "settings": INFO}
 
 
-@pytest.mark.parametrize(("change", "named"), [
-    (None, "not JSON"), ([], "not a JSON object"), ({"listen": "x"}, "HOST:PORT"), ({"name": 3}, "name"),
-    ({"seed": "zz"}, "seed"), ({"settings": {}}, "classes"), ({"settings": None}, "settings"),
-    ({"limits": {"sockets": 3}}, "limits.sockets"), ({"known": [], "listen": "127.0.0.1:1234"}, "known"),
-    ({}, "PROXY_FD"),
-])
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        (None, "not JSON"),
+        ([], "not a JSON object"),
+        ({"listen": "x"}, "HOST:PORT"),
+        ({"name": 3}, "name"),
+        ({"seed": "zz"}, "seed"),
+        ({"settings": {}}, "classes"),
+        ({"settings": None}, "settings"),
+        ({"limits": {"sockets": 3}}, "limits.sockets"),
+        ({"known": [], "listen": "127.0.0.1:1234"}, "known"),
+        ({}, "PROXY_FD"),
+    ],
+)
 def test_a_bad_configuration_ends_with_one_plain_line(tmp_path, change, named):
     path = tmp_path / "config.json"
     good = {**CONFIG, "listen": "127.0.0.1:8080"}
@@ -183,8 +209,13 @@
     path.write_text(text)
     env = {"PROXY_CONFIG": str(path)} | ({"PROXY_FD": "77"} if named == "PROXY_FD" else {})
     done = subprocess.run(
-        [sys.executable, "-m", "pulleyroute"], env=env, capture_output=True,
-        cwd=Path(__file__).parent.parent.parent, timeout=60, check=False)
+        [sys.executable, "-m", "pulleyroute"],
+        env=env,
+        capture_output=True,
+        cwd=Path(__file__).parent.parent.parent,
+        timeout=60,
+        check=False,
+    )
     assert done.returncode == 2 and done.stderr.count(b"\n") == 1 and named.encode() in done.stderr
 
 
--- a/tests/net/test_frames.py
+++ b/tests/net/test_frames.py
@@ -13,10 +13,16 @@
 from pulleyroute.net.moderation import CLOSE, ROW, Moderation
 
 OPEN = [(":method", "POST"), (":scheme", "http"), (":path", "/a.B/C"), (":authority", "x")]
-STEPS = st.lists(st.tuples(st.sampled_from(["data", "window", "whole window", "end", "reset", "ping",
-                                            "padded",
-                                            "trailers", "empty", "open"]),
-                           st.integers(0, 3), st.integers(0, 4000)), max_size=40)
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["data", "window", "whole window", "end", "reset", "ping", "padded", "trailers", "empty", "open"]
+        ),
+        st.integers(0, 3),
+        st.integers(0, 4000),
+    ),
+    max_size=40,
+)
 
 
 def side(client):
@@ -80,7 +86,7 @@
     at = i = 0
     while at < len(wire):
         size = cuts[i % len(cuts)]
-        for item in merger.feed(wire[at:at + size]):
+        for item in merger.feed(wire[at : at + size]):
             events += merged.receive_data(frame_of(*item) if isinstance(item, tuple) else item)
         at, i = at + size, i + 1
     assert heard(events) == expected
@@ -94,9 +100,9 @@
     wire = b"".join(data_frame(1, b"x" * 10) + frame_of(1, 5) + data_frame(3, b"y" * 20) for _ in range(100))
     assert merger.feed(wire) == [(1, b"x" * 1000), (3, b"y" * 2000), (1, 500)]
     assert counted.count("small") == 100 and counted.count("window") == 100
-    assert [len(body) for _, body in merger.feed(b"".join(data_frame(1,
-                                                                     b"z" * 10_000) for _ in range(2)))] == [
-        16_384, 20_000 - 16_384]
+    assert [
+        len(body) for _, body in merger.feed(b"".join(data_frame(1, b"z" * 10_000) for _ in range(2)))
+    ] == [16_384, 20_000 - 16_384]
 
 
 def test_a_frame_longer_than_allowed_is_known_by_its_head():
@@ -140,6 +146,6 @@
     assert rests(Moderation(50), ROW + 3, 40) == [0] * (ROW - 1) + [50] * 4
     assert not any(rests(Moderation(50), 100, CLOSE))  # one message and its answer: never held up
     assert not any(rests(Moderation(0), 100, 40))
-    assert rests(Moderation(50), 2 * ROW + 4, 40, other=ROW + 1)[ROW:ROW + 3] == [50, 0, 0]
+    assert rests(Moderation(50), 2 * ROW + 4, 40, other=ROW + 1)[ROW : ROW + 3] == [50, 0, 0]
     quiet = Moderation(50)
     assert [quiet.rest(i) for i in range(100)] == [0] * 100  # wake-ups for anything else
--- a/tests/net/test_handover.py
+++ b/tests/net/test_handover.py
@@ -37,8 +37,9 @@
     def serve(self):
         self.budgets = Budgets()
         listener = inherited(str(os.dup(self.platform.fileno())))
-        self.handover = Handover(self.loop, place(self.folder, listener), self.clients, self.host,
-                                 self.discovery, self.budgets)
+        self.handover = Handover(
+            self.loop, place(self.folder, listener), self.clients, self.host, self.discovery, self.budgets
+        )
         self.starting = Task(self.loop, self.handover.take_over(listener), "start")
         self.starting.start()
         passing(self, lambda: self.starting.done)
@@ -64,9 +65,11 @@
 
 def passing(scene, condition):
     """Turn with time going on, since a hand-over waits in small steps."""
+
     def held():
         scene.loop.skip(10_000)
         return condition()
+
     return scene.loop.until(held)
 
 
@@ -115,8 +118,13 @@
     told(new, "t2", late)
     assert waiting.message()[1] == b"of t2"
     assert not old.host.open and not old.clients.count and not old.loop.errors
-    assert new.shown() == {"answered.charge": 1, "answered.read": 1, "current": 1, "sends": 1,
-                           "cluster_size": 3}
+    assert new.shown() == {
+        "answered.charge": 1,
+        "answered.read": 1,
+        "current": 1,
+        "sends": 1,
+        "cluster_size": 3,
+    }
     old.clients.stop()
     passing(old, lambda: old.loop.stopped)
 
@@ -278,7 +286,7 @@
     processes["new"] = new = old.next(listens=False)
     new.serve()
     old.loop.skip(1_500_000)
-    assert seen[:number + 1] == MESSAGES[:number + 1]
+    assert seen[: number + 1] == MESSAGES[: number + 1]
     stays = processes["new" if doomed == "old" else "old"]
     passing(old, lambda: stays.clients.duty.ready)
     for txn, (client, instance, peer) in jobs.items():
@@ -300,7 +308,8 @@
 
 
 def test_another_users_process_at_the_meeting_place_is_nobody_and_sigterm_before_the_start_ends_it(
-        old, monkeypatch):
+    old, monkeypatch
+):
     with monkeypatch.context() as patch:
         patch.setattr(os, "getuid", lambda: 77777)
         stranger = old.next()
@@ -338,13 +347,16 @@
     else:
         door.listen()
     with platform:
-        answer = {"version": pack("state", {"version": 99, "now": 1, "last": True}), "garbage": b"\xff{",
-                  "half": pack("state", {"version": 1, "now": 1, "last": False, "phase": "standby"}),
-                  "nonsense": pack("state", {"version": 1, "now": 1, "last": True, "known": [{"id": 5}]}),
-                  }.get(how)
+        answer = {
+            "version": pack("state", {"version": 99, "now": 1, "last": True}),
+            "garbage": b"\xff{",
+            "half": pack("state", {"version": 1, "now": 1, "last": False, "phase": "standby"}),
+            "nonsense": pack("state", {"version": 1, "now": 1, "last": True, "known": [{"id": 5}]}),
+        }.get(how)
         if answer is not None:
             # What it will say waits in its socket: the new process reads it once it has connected.
             import threading
+
             threading.Thread(target=lambda: door.accept()[0].send(answer), daemon=True).start()
         folder = tmp_path / "none" if how == "no folder" else tmp_path
         new = Process(folder, platform)
--- a/tests/net/test_history.py
+++ b/tests/net/test_history.py
@@ -8,10 +8,14 @@
 ERROR = b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"
 STEPS = st.one_of(
     st.tuples(st.just("ask"), st.sampled_from(["/read", "/charge"]), st.integers(1, 5000)),
-    st.tuples(st.just("answer"), st.integers(0, 9),
-              st.sampled_from([TAKEN, TAKEN, NACK, ERROR, b"", b"junk"])),
-    st.tuples(st.just("call"), st.integers(0, 9),
-              st.sampled_from(["started", "done", "done", "failed", "returned", "lost"])),
+    st.tuples(
+        st.just("answer"), st.integers(0, 9), st.sampled_from([TAKEN, TAKEN, NACK, ERROR, b"", b"junk"])
+    ),
+    st.tuples(
+        st.just("call"),
+        st.integers(0, 9),
+        st.sampled_from(["started", "done", "done", "failed", "returned", "lost"]),
+    ),
     st.tuples(st.just("leave"), st.integers(0, 9)),
     st.tuples(st.just("table"), st.integers(0, 2), st.sampled_from(["active", "leaving", "left"])),
     st.tuples(st.just("pass"), st.integers(1, 2000)),
@@ -132,6 +136,10 @@
         referee.step(*step)
     referee.step("pass", 6 * SECOND // MS)
     assert not referee.scene.host.open and not referee.scene.loop.errors and not referee.scene.host.faults
-    for sock in (referee.scene.discovery_peer.sock, referee.scene.clients.listener.sock,
-                 *(r.sock for r in referee.scene.runners.values()), *(p.sock for _, p in referee.peers)):
+    for sock in (
+        referee.scene.discovery_peer.sock,
+        referee.scene.clients.listener.sock,
+        *(r.sock for r in referee.scene.runners.values()),
+        *(p.sock for _, p in referee.peers),
+    ):
         sock.close()
--- a/tests/net/test_host.py
+++ b/tests/net/test_host.py
@@ -19,6 +19,7 @@
 
 def first_sent(scene):
     """The same at whichever instance got it."""
+
     def look():
         for name, runner in scene.runners.items():
             try:
@@ -26,6 +27,7 @@
             except BlockingIOError:
                 continue
         return None
+
     name, sock = scene.loop.until(look)
     peer = Peer(scene.loop, sock)
     return name, peer, peer.message()
@@ -39,8 +41,8 @@
     assert b"X-Txn: t1" in head and b"X-Remaining-Ms: 39" in head  # less the margin
     runner.send(TAKEN)
     assert b" 204 " in scene.call(**{"id": "t1", "from": "s-0", "state": "started"})
-    assert b" 204 " in scene.call(**{"id": "t1", "from": "s-0", "state": "done", "result": "é\n\0\"x"})
-    assert status(client) == (200, "é\n\0\"x".encode())
+    assert b" 204 " in scene.call(**{"id": "t1", "from": "s-0", "state": "done", "result": 'é\n\0"x'})
+    assert status(client) == (200, 'é\n\0"x'.encode())
     assert not scene.host.open and not scene.loop.errors
 
 
@@ -75,18 +77,33 @@
     client = scene.ask()
     runner, _ = sent(scene)
     runner.send(TAKEN)
-    calls = [("t1", "s-9", "done"), ("t9", "s-0", "lost"), ("t1", "s-0", "done"), ("t1", "s-0", "done"),
-             ("t1", "s-0", "lost"), ("t1", "s-0", "started")]
+    calls = [
+        ("t1", "s-9", "done"),
+        ("t9", "s-0", "lost"),
+        ("t1", "s-0", "done"),
+        ("t1", "s-0", "done"),
+        ("t1", "s-0", "lost"),
+        ("t1", "s-0", "started"),
+    ]
     for txn, name, state in calls:
         assert b" 204 " in scene.call(**{"id": txn, "from": name, "state": state, "result": "r"})
     assert status(client) == (200, b"r")
     assert [e.outcome for e in seen if isinstance(e, AttemptEnded)] == [Outcome.OK]
 
 
-@pytest.mark.parametrize("body", [
-    b"", b"{", b"[]", b"\xff", b'{"id":"t1","from":"s-0"}', b'{"id":1,"from":"s-0","state":"lost"}',
-    b'{"id":"t1","from":"s-0","state":"done"}', b'{"id":"t1","from":"s-0","state":"running","share":"x"}',
-])
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b"\xff",
+        b'{"id":"t1","from":"s-0"}',
+        b'{"id":1,"from":"s-0","state":"lost"}',
+        b'{"id":"t1","from":"s-0","state":"done"}',
+        b'{"id":"t1","from":"s-0","state":"running","share":"x"}',
+    ],
+)
 def test_malformed_calls_get_400_and_end_nothing(body):
     scene = Scene()
     client = scene.ask()
@@ -110,10 +127,16 @@
     assert status(client) == (200, b"r")
 
 
-@pytest.mark.parametrize("answer", [
-    b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",  # not marked: it may have run
-    b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", b"", b"HTTP/1.1 2", b"garbage\r\n\r\n",
-])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",  # not marked: it may have run
+        b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+        b"",
+        b"HTTP/1.1 2",
+        b"garbage\r\n\r\n",
+    ],
+)
 def test_what_may_have_run_is_not_sent_again_and_not_refused(answer):
     scene = Scene(instances=2)
     client = scene.ask("/charge")
@@ -189,8 +212,10 @@
     # Guards the drain rule: the table is looked at when the first byte would go, not only at the push.
     scene = Scene()
     table = scene.table("s-0", phase="leaving", complete=False, revision=2)
-    active, scene.discovery.active = scene.discovery.active, lambda name: (
-        scene.discovery._take(table, cached=False), active(name))[1]
+    active, scene.discovery.active = (
+        scene.discovery.active,
+        lambda name: (scene.discovery._take(table, cached=False), active(name))[1],
+    )
     scene.ask("/charge")
     runner = scene.runners["s-0"].accept()
     scene.loop.settle()
--- a/tests/net/test_http.py
+++ b/tests/net/test_http.py
@@ -16,9 +16,11 @@
 from tests.net.scene import SECOND, StillLoop
 
 FIXED = settings(derandomize=True, max_examples=100, deadline=None)
-REQUEST = (b"POST /read?k=1 HTTP/1.1\r\nHost: x\r\nX-Txn: t\r\nContent-Length: 5\r\n\r\nab\r\nc")
-CHUNKED = (b"POST /read?k=1 HTTP/1.1\r\nHost: x\r\nX-Txn: t\r\nTransfer-Encoding: chunked\r\n\r\n"
-           b"2\r\nab\r\n3;x=y\r\n\r\nc\r\n0\r\n\r\n")
+REQUEST = b"POST /read?k=1 HTTP/1.1\r\nHost: x\r\nX-Txn: t\r\nContent-Length: 5\r\n\r\nab\r\nc"
+CHUNKED = (
+    b"POST /read?k=1 HTTP/1.1\r\nHost: x\r\nX-Txn: t\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"2\r\nab\r\n3;x=y\r\n\r\nc\r\n0\r\n\r\n"
+)
 RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 202 Accepted\r\nContent-Length: 2\r\n\r\nok"
 CUTS = st.lists(st.integers(1, 120), max_size=12)
 
--- a/tests/net/test_instance.py
+++ b/tests/net/test_instance.py
@@ -11,17 +11,20 @@
 NAMES = {"q": "queued", "rif": "in_hand", "x0": "free_slots", "busy": "busy", "rate": "rate"}
 
 
-@pytest.mark.parametrize(("values", "report"), [
-    ({"queue": 2, "inflight": 3.5, "x0": 0}, LoadReport(free_slots=0, in_hand=3.5, queued=2)),
-    ({"q": 2, "rif": 3, "x0": 1, "new": 9}, LoadReport(free_slots=1, in_hand=3, queued=2)),
-    ({"x0": float("nan"), "inflight": True}, LoadReport()),
-    ({"x0": -3, "queue": 1}, LoadReport(queued=1)),
-    # A reading that has not been taken yet: no report, or the instance would seem full.
-    ({"queue": 0, "inflight": 0, "x0": 0}, None),
-    ({"util": 0, "queue": 0, "qps": 0, "x0": 0}, None),  # the same where jobs in hand are not told
-    ({"util": 0.9, "queue": 0, "qps": 0, "x0": 0}, LoadReport(free_slots=0, queued=0, busy=0.9, rate=0)),
-    ([], None),
-])
+@pytest.mark.parametrize(
+    ("values", "report"),
+    [
+        ({"queue": 2, "inflight": 3.5, "x0": 0}, LoadReport(free_slots=0, in_hand=3.5, queued=2)),
+        ({"q": 2, "rif": 3, "x0": 1, "new": 9}, LoadReport(free_slots=1, in_hand=3, queued=2)),
+        ({"x0": float("nan"), "inflight": True}, LoadReport()),
+        ({"x0": -3, "queue": 1}, LoadReport(queued=1)),
+        # A reading that has not been taken yet: no report, or the instance would seem full.
+        ({"queue": 0, "inflight": 0, "x0": 0}, None),
+        ({"util": 0, "queue": 0, "qps": 0, "x0": 0}, None),  # the same where jobs in hand are not told
+        ({"util": 0.9, "queue": 0, "qps": 0, "x0": 0}, LoadReport(free_slots=0, queued=0, busy=0.9, rate=0)),
+        ([], None),
+    ],
+)
 def test_load_reports_under_the_names_of_the_sockets(values, report):
     assert read_report(values, NAMES, "r") == report
 
--- a/tests/net/test_less_room.py
+++ b/tests/net/test_less_room.py
@@ -16,13 +16,17 @@
 
 
 def request(txn, body=b"hello"):
-    return (b"POST /read?k=7f HTTP/1.1\r\nHost: api\r\nX-Txn: %s\r\nX-Remaining-Ms: 4000\r\n"
-            b"Content-Length: %d\r\n\r\n" % (txn.encode(), len(body))) + body
+    return (
+        b"POST /read?k=7f HTTP/1.1\r\nHost: api\r\nX-Txn: %s\r\nX-Remaining-Ms: 4000\r\n"
+        b"Content-Length: %d\r\n\r\n" % (txn.encode(), len(body))
+    ) + body
 
 
 def chunked(txn):
-    return (b"POST /read HTTP/1.1\r\nHost: api\r\nX-Txn: %s\r\nX-Remaining-Ms: 4000\r\n"
-            b"Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3;x=y\r\nllo\r\n0\r\n\r\n" % txn.encode())
+    return (
+        b"POST /read HTTP/1.1\r\nHost: api\r\nX-Txn: %s\r\nX-Remaining-Ms: 4000\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3;x=y\r\nllo\r\n0\r\n\r\n" % txn.encode()
+    )
 
 
 @pytest.mark.parametrize("form", [request, chunked])
@@ -61,8 +65,12 @@
     watch.message()
     watch.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
     for at in range(1, 60):
-        line = json.dumps(scene.table("s-1", phase="leaving" if at % 2 else "active", complete=False,
-                                      revision=10 + at)).encode() + b"\n"
+        line = (
+            json.dumps(
+                scene.table("s-1", phase="leaving" if at % 2 else "active", complete=False, revision=10 + at)
+            ).encode()
+            + b"\n"
+        )
         in_two(scene, watch, b"%x\r\n%s\r\n" % (len(line), line), at % (len(line) + 3) or 1)
         scene.loop.until(lambda at=at: scene.discovery.version == 10 + at)
         assert scene.discovery.active(b"s-1") is (at % 2 == 0)
--- a/tests/net/test_list_age.py
+++ b/tests/net/test_list_age.py
@@ -94,10 +94,13 @@
     assert max(ends_of(patience * SECOND)) <= discovery.TOLD
 
 
-@pytest.mark.parametrize(("dispatchers", "waited", "least"), [
-    (40, 2500 * MS, 2 * SECOND),  # longer than any pause where discovery is merely away
-    (2, 500 * MS, 70 * MS),  # longer than any first pause
-])
+@pytest.mark.parametrize(
+    ("dispatchers", "waited", "least"),
+    [
+        (40, 2500 * MS, 2 * SECOND),  # longer than any pause where discovery is merely away
+        (2, 500 * MS, 70 * MS),  # longer than any first pause
+    ],
+)
 def test_a_call_turned_away_after_a_long_wait_does_not_begin_the_pauses_anew(dispatchers, waited, least):
     agent = Agent(info={**INFO, "balancers": dispatchers})
     pauses, since = [], agent.loop.time
@@ -114,10 +117,13 @@
     assert sum(pauses[4:]) / 8 > least, pauses
 
 
-@pytest.mark.parametrize("spoilt", [
-    b'{"revision":2,"complete":false,"members":[\n',  # and then byte by byte, for ever
-    b"                    ",
-])
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        b'{"revision":2,"complete":false,"members":[\n',  # and then byte by byte, for ever
+        b"                    ",
+    ],
+)
 def test_a_word_that_never_ends_breaks_the_watch_though_bytes_keep_coming(spoilt):
     # Guards the list against a discovery that trickles: each chunk by itself is in time.
     agent = Agent()
@@ -150,7 +156,7 @@
     tricky = json.dumps({"revision": 1, "note": 'a "}" and a \\" in a text', "members": []}, indent=1)
     data = (text + "\n\n").encode()
     for at in range(0, len(data), 7):
-        peer.send(chunk(data[at:at + 7]))
+        peer.send(chunk(data[at : at + 7]))
     agent.loop.until(lambda: agent.ready() == [b"s-1"])
     assert [json.loads(word) for word in Words().feed(tricky.encode() + b"\n")] == [json.loads(tricky)]
 
--- a/tests/net/test_main.py
+++ b/tests/net/test_main.py
@@ -51,8 +51,9 @@
     return value
 
 
-@pytest.mark.parametrize(("example", "path_of_class"), [
-    ("config.json", b"/balance-check"), ("pushed.json", b"/show-menu")])
+@pytest.mark.parametrize(
+    ("example", "path_of_class"), [("config.json", b"/balance-check"), ("pushed.json", b"/show-menu")]
+)
 def test_the_examples_serve_and_sigterm_ends_them_cleanly(tmp_path, example, path_of_class):
     text = (ROOT / "examples" / example).read_text().replace("127.0.0.1", HOST)
     assert json.loads(text)["listen"] == f"{HOST}:8080"
@@ -61,16 +62,22 @@
     env = dict(os.environ)
     for name in ("PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY", "PYTHONPATH"):
         env.pop(name, None)
-    toy = subprocess.Popen([sys.executable, "-m", "examples.toy_server", HOST], cwd=ROOT, env=env,
-                           stdout=subprocess.PIPE)
-    node = subprocess.Popen([sys.executable, "-m", "pulleyroute"], cwd=ROOT, stderr=subprocess.PIPE,
-                            env={**env, "PROXY_CONFIG": str(path), "PROXY_DISCOVERY": old})
+    toy = subprocess.Popen(
+        [sys.executable, "-m", "examples.toy_server", HOST], cwd=ROOT, env=env, stdout=subprocess.PIPE
+    )
+    node = subprocess.Popen(
+        [sys.executable, "-m", "pulleyroute"],
+        cwd=ROOT,
+        stderr=subprocess.PIPE,
+        env={**env, "PROXY_CONFIG": str(path), "PROXY_DISCOVERY": old},
+    )
     try:
         assert [toy.stdout.readline() for _ in range(3)][-1].startswith(b"s-two listens")
         until(lambda: (get(b"/-/ready") or b"").startswith(b"HTTP/1.1 200 "))
-        answer = exchange(b"POST " + path_of_class +
-                          b" HTTP/1.1\r\nHost: x\r\nX-Txn: t1\r\nX-Remaining-Ms: 60000\r\n"
-                          b"Content-Length: 5\r\nConnection: close\r\n\r\nhello")
+        answer = exchange(
+            b"POST " + path_of_class + b" HTTP/1.1\r\nHost: x\r\nX-Txn: t1\r\nX-Remaining-Ms: 60000\r\n"
+            b"Content-Length: 5\r\nConnection: close\r\n\r\nhello"
+        )
         assert answer.startswith(b"HTTP/1.1 200 ") and answer.endswith(b" did hello")
         # A reload: a file that can't be used changes nothing; a good one moves it to the new discovery,
         # though the variable names the old one.
--- a/tests/net/test_management.py
+++ b/tests/net/test_management.py
@@ -23,15 +23,18 @@
     assert scene.operate("GET", "/status")[0] == 503 and scene.operate("POST", "/active")[0] == 409
 
 
-@pytest.mark.parametrize(("data", "status"), [
-    (b"GET /else HTTP/1.1\r\nHost: x\r\n\r\n", 404),
-    (b"GET /standby HTTP/1.1\r\nHost: x\r\n\r\n", 405),
-    (b"nonsense\r\n\r\n", 400),
-    (b"GET /status HTTP/1.1\r\nHost: x\r\nX: " + b"y" * 20000 + b"\r\n\r\n", 431),
-    (b"POST /active HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\n", 413),
-    (b"POST /standby HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf", 408),
-    (b"", 408),
-])
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GET /else HTTP/1.1\r\nHost: x\r\n\r\n", 404),
+        (b"GET /standby HTTP/1.1\r\nHost: x\r\n\r\n", 405),
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET /status HTTP/1.1\r\nHost: x\r\nX: " + b"y" * 20000 + b"\r\n\r\n", 431),
+        (b"POST /active HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\n", 413),
+        (b"POST /standby HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nhalf", 408),
+        (b"", 408),
+    ],
+)
 def test_a_call_that_is_not_in_form_is_named_ends_in_bounded_time_and_does_nothing(data, status):
     scene = Scene()
     peer = scene.operator(data)
@@ -136,7 +139,8 @@
     bad.send(b"POST /read HTTP/1.1\r\nHost: x\r\n\r\n")  # no id: no job
     bad.message()
     assert scene.shown() == dict(seen) | {"cluster_size": 3} | {
-        key: value for key, value in scene.shown().items() if key == "cluster_unhealthy"}
+        key: value for key, value in scene.shown().items() if key == "cluster_unhealthy"
+    }
     assert {f"{how}.{path}" for how in ("answered", "deferred", "errored") for path in names} <= set(seen)
 
 
--- a/tests/net/test_pushed_list.py
+++ b/tests/net/test_pushed_list.py
@@ -106,10 +106,17 @@
     assert agent.ready() == [b"s-0", b"s-1"]
 
 
-@pytest.mark.parametrize("bad", [
-    b"garbage\n", b"{}\n", b'{"revision":9,"complete":true,"members":[{}]}\n', b"[1]\n", b"7\n",
-    b'{"revision":9,"complete":true,"mem',
-])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b"garbage\n",
+        b"{}\n",
+        b'{"revision":9,"complete":true,"members":[{}]}\n',
+        b"[1]\n",
+        b"7\n",
+        b'{"revision":9,"complete":true,"mem',
+    ],
+)
 def test_what_cannot_be_read_changes_nothing_and_is_told_of_once(bad, logged):
     agent = Agent()
     peer = agent.opened(1)
@@ -157,8 +164,9 @@
     agent = Agent()
     table = agent.scene.table("s-0", "s-1", revision=8)
     table["members"][1]["up_since_ms"] = 5
-    agent.opened(1).send(chunk(json.dumps(table).encode() + b"\n") +
-                         agent.line("s-0", "s-1", phase="leaving", revision=2))
+    agent.opened(1).send(
+        chunk(json.dumps(table).encode() + b"\n") + agent.line("s-0", "s-1", phase="leaving", revision=2)
+    )
     agent.loop.until(lambda: agent.ready() == [b"s-1"])  # which has started since
     agent.loop.settle()
     assert agent.scene.discovery.version == 8 and agent.ready() == [b"s-1"]
@@ -187,8 +195,14 @@
     agent = Agent()
     agent.opened(1).send(agent.line("s-0", phase="leaving", complete=False, revision=2))
     agent.loop.until(lambda: agent.ready() == [b"s-1"])
-    handover = Handover(agent.loop, place("/nowhere", agent.door.sock), agent.scene.clients, agent.scene.host,
-                        agent.scene.discovery, None)
+    handover = Handover(
+        agent.loop,
+        place("/nowhere", agent.door.sock),
+        agent.scene.clients,
+        agent.scene.host,
+        agent.scene.discovery,
+        None,
+    )
     handover._whole = True
     link = type("Link", (), {"shift": 0, "close": lambda self, why: None})()
     handover._use(link, [{"phase": "serving"}, {"list": agent.scene.table("s-0", "s-1", revision=1)}])
@@ -200,8 +214,14 @@
 def test_the_program_itself_opens_the_watch(tmp_path, monkeypatch):
     scene = Scene()
     path = tmp_path / "config.json"
-    config = {"name": "n", "listen": "127.0.0.1:18080", "seed": "ff", "settings": PUSHED,
-              "discovery": "{}:{}".format(*scene.discovery_peer.address), "known": scene.table("s-0")}
+    config = {
+        "name": "n",
+        "listen": "127.0.0.1:18080",
+        "seed": "ff",
+        "settings": PUSHED,
+        "discovery": "{}:{}".format(*scene.discovery_peer.address),
+        "known": scene.table("s-0"),
+    }
     path.write_text(json.dumps(config))
     monkeypatch.setenv("PROXY_CONFIG", str(path))
     loaded = load_config({"PROXY_CONFIG": str(path)})
--- a/tests/net/test_rare_moments.py
+++ b/tests/net/test_rare_moments.py
@@ -6,8 +6,19 @@
 from tests.net.scene import INFO, MS, NACK, SECOND, TAKEN, Listener, Scene
 
 ALONE = {"second-copies": False}
-KEYED = {**INFO, "classes": [*INFO["classes"], {"name": "apply", "effect": "idempotency_key", "aim": 1000000,
-                                                "give-up": 5000000, "repeat-window": 900000}]}
+KEYED = {
+    **INFO,
+    "classes": [
+        *INFO["classes"],
+        {
+            "name": "apply",
+            "effect": "idempotency_key",
+            "aim": 1000000,
+            "give-up": 5000000,
+            "repeat-window": 900000,
+        },
+    ],
+}
 
 
 def late_connects(scene, between):
@@ -34,6 +45,7 @@
 
 # A client that has gone
 
+
 @pytest.mark.parametrize("more", [0, 20 * 1024])
 def test_a_request_whose_client_has_gone_before_it_is_read_is_not_sent_on(more):
     # Guards the instances against work for nobody: the end stands behind the request, and what follows it.
@@ -79,6 +91,7 @@
 
 # The gate before an attempt
 
+
 def test_an_instance_that_starts_anew_while_a_connection_comes_up_is_sent_nothing_meant_for_the_old_one():
     # Guards a cold instance: what the decisions counted was the room of the process before.
     scene = Scene()
@@ -128,6 +141,7 @@
 
 # Giving up
 
+
 def test_where_no_second_copy_is_allowed_a_job_waits_until_its_instance_has_heard_that_it_is_given_up():
     # Guards against two copies at once: an instance that is cut off has not heard, and works on.
     scene = Scene(instances=2, **ALONE)
--- a/tests/net/test_reload.py
+++ b/tests/net/test_reload.py
@@ -16,8 +16,12 @@
 from tests.net.scene import INFO, Scene, StillLoop
 
 GOOD = {
-    "name": "n", "listen": "127.0.0.1:8080", "discovery": "127.0.0.1:9", "seed": "ff",
-    "limits": {"cores": 1.0, "memory_mb": 80, "sockets": 300}, "settings": INFO,
+    "name": "n",
+    "listen": "127.0.0.1:8080",
+    "discovery": "127.0.0.1:9",
+    "seed": "ff",
+    "limits": {"cores": 1.0, "memory_mb": 80, "sockets": 300},
+    "settings": INFO,
 }
 
 
@@ -27,8 +31,10 @@
 
 
 def classes(**effects):
-    return [{"name": name, "effect": effect, "aim": 1000000, "give-up": 5000000}
-            for name, effect in effects.items()]
+    return [
+        {"name": name, "effect": effect, "aim": 1000000, "give-up": 5000000}
+        for name, effect in effects.items()
+    ]
 
 
 def test_a_new_class_serves_a_dropped_one_is_unknown_and_open_jobs_end_as_they_came():
@@ -86,8 +92,15 @@
 def test_zones_and_kinds_keep_their_numbers_when_the_lists_change_their_order():
     scene = Scene()
     before = scene.host._dispatcher.workers[b"s-0"]
-    adopt(scene, **{"areas": ["b", "new", "a"], "my-zone": 2, "flavors": ["old", "new"],
-                    "family-info": {"class-kind": [1, 0]}})
+    adopt(
+        scene,
+        **{
+            "areas": ["b", "new", "a"],
+            "my-zone": 2,
+            "flavors": ["old", "new"],
+            "family-info": {"class-kind": [1, 0]},
+        },
+    )
     settings = scene.host._settings
     assert (settings.zone, before.zone) == (0, 0)
     assert [cls.kind for cls in settings.classes] == [before.kind, 1]
@@ -105,9 +118,16 @@
 
 
 def state(parts):
-    return (parts.host._settings, parts.clients._settings, parts.instances._settings,
-            parts.discovery._discovery, parts.ledger.most, parts.config.sockets, parts.config.settings,
-            dict(parts.clients._classes))
+    return (
+        parts.host._settings,
+        parts.clients._settings,
+        parts.instances._settings,
+        parts.discovery._discovery,
+        parts.ledger.most,
+        parts.config.sockets,
+        parts.config.settings,
+        dict(parts.clients._classes),
+    )
 
 
 def sent(parts, path: Path, text: str):
@@ -159,23 +179,34 @@
     return json.dumps(data)
 
 
-@given(st.one_of(
-    st.builds(changed, st.sampled_from(PATHS), st.sampled_from(VALUES)),
-    st.integers(0, len(json.dumps(GOOD)) - 1).map(lambda at: json.dumps(GOOD)[:at]),
-))
+@given(
+    st.one_of(
+        st.builds(changed, st.sampled_from(PATHS), st.sampled_from(VALUES)),
+        st.integers(0, len(json.dumps(GOOD)) - 1).map(lambda at: json.dumps(GOOD)[:at]),
+    )
+)
 def test_a_mutilated_file_is_taken_whole_or_changes_nothing(running, text):
     parts, path = running
     sent(parts, path, text)
     assert sent(parts, path, json.dumps(GOOD)) or "limits" in text
 
 
-@pytest.mark.parametrize("text", [
-    "", "null", "[]", json.dumps(GOOD)[:-1],
-    *(changed(path, None) for path in PATHS if isinstance(path[-1], str)),
-    *(changed(("settings", *path), value) for value in (0, -1, True, "4", float("nan"), float("inf"), 10**400)
-      for path in (("classes", 0, "give-up"), ("classes", 1, "aim"), ("caps", "max-attempts"))),
-    changed(("settings", "classes", 1, "name"), "read"),
-])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "null",
+        "[]",
+        json.dumps(GOOD)[:-1],
+        *(changed(path, None) for path in PATHS if isinstance(path[-1], str)),
+        *(
+            changed(("settings", *path), value)
+            for value in (0, -1, True, "4", float("nan"), float("inf"), 10**400)
+            for path in (("classes", 0, "give-up"), ("classes", 1, "aim"), ("caps", "max-attempts"))
+        ),
+        changed(("settings", "classes", 1, "name"), "read"),
+    ],
+)
 def test_what_lacks_a_key_or_has_a_senseless_limit_is_turned_down(running, text):
     parts, path = running
     assert not sent(parts, path, text)
