--- a/tests/net/test_service_client.py
+++ b/tests/net/test_service_client.py
@@ -15,35 +15,49 @@
 GOOD = b"POST /read HTTP/1.1\r\nHost: x\r\nX-Txn: t\r\nX-Remaining-Ms: 100\r\nContent-Length: 0\r\n\r\n"
 
 
-@pytest.mark.parametrize(("data", "answer", "closes"), [
-    (GOOD.replace(b"/read", b"/other"), 404, False),
-    (GOOD.replace(b"/read", b"http://x/read"), 404, False),
-    (GOOD.replace(b"POST", b"PUT"), 405, False),
-    (GOOD.replace(b"/read", b"/-/ready"), 405, False),
-    (b"GET /callback HTTP/1.1\r\nHost: x\r\n\r\n", 405, False),
-    (b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n", 200, False),
-    (GOOD.replace(b"X-Txn: t\r\n", b""), 400, False),
-    (GOOD.replace(b"X-Txn: t", b"X-Txn: a/b"), 400, False),
-    (GOOD.replace(b"X-Txn: t", b"X-Txn: t\r\nX-Txn: u"), 400, False),
-    (GOOD.replace(b": 100", b": -1"), 400, False),
-    (GOOD.replace(b": 100", b": soon"), 400, False),
-    (GOOD.replace(b"Host: x", b"Host: x\r\nX-Labels: slots=many"), 400, False),
-    (GOOD.replace(b"Host: x\r\n", b""), 400, True),
-    (GOOD.replace(b"HTTP/1.1", b"HTTP/9"), 400, True),
-    (GOOD.replace(b"Length: 0", b"Length: no"), 400, True),
-    (GOOD.replace(b"Length: 0", b"Length: 65537"), 413, True),
-    (GOOD.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked") + b"10001\r\n" + b"x" * 65537,
-     413, True),
-    (GOOD.replace(b"Length: 0", b"Length: 5\r\nTransfer-Encoding: chunked") + b"0\r\n\r\n" + GOOD, 400, True),
-    (GOOD.replace(b"Length: 0", b"Length: 0\r\ntransfer-encoding:\r\n chunked") + b"0\r\n\r\n", 400, True),
-    (GOOD.replace(b"Length: 0", b"Length: 0\ncontent-length: 0"), 400, True),
-    (GOOD.replace(b"Length: 0", b"Length: +1") + b"x", 400, True),
-    (GOOD.replace(b"Length: 0", b"Length: 1, 1") + b"x", 400, True),
-    (GOOD.replace(b"Length: 0", b"Length: -5"), 400, True),
-    (GOOD.replace(b"Length: 0", b"Length: 99999999999999999999999"), 400, True),
-    (GOOD.replace(b"Content-Length: 0", b"Transfer-Encoding: gzip"), 501, True),
-    (GOOD.replace(b"Host: x", b"Host: x\r\nX-Big: " + b"x" * 20000), 431, True),
-])
+@pytest.mark.parametrize(
+    ("data", "answer", "closes"),
+    [
+        (GOOD.replace(b"/read", b"/other"), 404, False),
+        (GOOD.replace(b"/read", b"http://x/read"), 404, False),
+        (GOOD.replace(b"POST", b"PUT"), 405, False),
+        (GOOD.replace(b"/read", b"/-/ready"), 405, False),
+        (b"GET /callback HTTP/1.1\r\nHost: x\r\n\r\n", 405, False),
+        (b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n", 200, False),
+        (GOOD.replace(b"X-Txn: t\r\n", b""), 400, False),
+        (GOOD.replace(b"X-Txn: t", b"X-Txn: a/b"), 400, False),
+        (GOOD.replace(b"X-Txn: t", b"X-Txn: t\r\nX-Txn: u"), 400, False),
+        (GOOD.replace(b": 100", b": -1"), 400, False),
+        (GOOD.replace(b": 100", b": soon"), 400, False),
+        (GOOD.replace(b"Host: x", b"Host: x\r\nX-Labels: slots=many"), 400, False),
+        (GOOD.replace(b"Host: x\r\n", b""), 400, True),
+        (GOOD.replace(b"HTTP/1.1", b"HTTP/9"), 400, True),
+        (GOOD.replace(b"Length: 0", b"Length: no"), 400, True),
+        (GOOD.replace(b"Length: 0", b"Length: 65537"), 413, True),
+        (
+            GOOD.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked") + b"10001\r\n" + b"x" * 65537,
+            413,
+            True,
+        ),
+        (
+            GOOD.replace(b"Length: 0", b"Length: 5\r\nTransfer-Encoding: chunked") + b"0\r\n\r\n" + GOOD,
+            400,
+            True,
+        ),
+        (
+            GOOD.replace(b"Length: 0", b"Length: 0\r\ntransfer-encoding:\r\n chunked") + b"0\r\n\r\n",
+            400,
+            True,
+        ),
+        (GOOD.replace(b"Length: 0", b"Length: 0\ncontent-length: 0"), 400, True),
+        (GOOD.replace(b"Length: 0", b"Length: +1") + b"x", 400, True),
+        (GOOD.replace(b"Length: 0", b"Length: 1, 1") + b"x", 400, True),
+        (GOOD.replace(b"Length: 0", b"Length: -5"), 400, True),
+        (GOOD.replace(b"Length: 0", b"Length: 99999999999999999999999"), 400, True),
+        (GOOD.replace(b"Content-Length: 0", b"Transfer-Encoding: gzip"), 501, True),
+        (GOOD.replace(b"Host: x", b"Host: x\r\nX-Big: " + b"x" * 20000), 431, True),
+    ],
+)
 def test_bad_input_is_named_and_framing_errors_end_the_connection(data, answer, closes):
     scene = Scene()
     peer = scene.client()
@@ -70,15 +84,26 @@
     assert (request.body, request.memory) == (b"ok", 2.0)
 
 
-@pytest.mark.parametrize(("told", "hint"), [
-    (["2500"], 2500), ([], None), (["0"], None), (["-4"], None), (["9" * 40], None), (["soon"], None),
-    (["1e3"], None), (["5", "6"], None),
-])
+@pytest.mark.parametrize(
+    ("told", "hint"),
+    [
+        (["2500"], 2500),
+        ([], None),
+        (["0"], None),
+        (["-4"], None),
+        (["9" * 40], None),
+        (["soon"], None),
+        (["1e3"], None),
+        (["5", "6"], None),
+    ],
+)
 def test_a_guess_of_the_work_reaches_the_decisions_and_a_spoilt_one_turns_nobody_away(told, hint, logged):
     scene = Scene()
     estimates = "".join(f"X-Estimate: {value}\r\n" for value in told)
-    scene.client().send("POST /read HTTP/1.1\r\nHost: api\r\nX-Txn: t1\r\nX-Remaining-Ms: 4000\r\n"
-                        f"{estimates}Content-Length: 0\r\n\r\n".encode())
+    scene.client().send(
+        "POST /read HTTP/1.1\r\nHost: api\r\nX-Txn: t1\r\nX-Remaining-Ms: 4000\r\n"
+        f"{estimates}Content-Length: 0\r\n\r\n".encode()
+    )
     scene.loop.until(lambda: scene.host.knows("t1"))
     assert scene.host._dispatcher.jobs[1].hint == hint
     assert sum("estimate" in line for line in logged) == (1 if told and hint is None else 0)
@@ -145,8 +170,10 @@
         peer.close()
 
 
-@pytest.mark.parametrize("sent", [b"", GOOD[:30], GOOD.replace(b"Length: 0", b"Length: 9") + b"x",
-                                  GOOD.replace(b"/read", b"/other")])
+@pytest.mark.parametrize(
+    "sent",
+    [b"", GOOD[:30], GOOD.replace(b"Length: 0", b"Length: 9") + b"x", GOOD.replace(b"/read", b"/other")],
+)
 def test_a_stranger_gets_an_error_within_three_seconds_and_a_known_client_keeps_its_idle_time(sent):
     scene = Scene()
     idle, stranger = scene.known(), scene.client()
@@ -265,10 +292,18 @@
 @given(st.binary(max_size=60) | st.text(max_size=60).map(lambda t: t.encode("utf-8", "surrogatepass")))
 def test_garbage_raises_nothing_but_what_is_answered_with_400(data):
     for attempt in (
-        lambda: read_call(data, SETTINGS), lambda: read_labels(data),
+        lambda: read_call(data, SETTINGS),
+        lambda: read_labels(data),
         lambda: read_call(b'{"id":"a","from":"b","state":"done","result":"' + data + b'"}', SETTINGS),
-        lambda: read_request(Message([(b"x-txn", b"t"), (b"x-remaining-ms", b"5"), (b"x-labels", data)], b"",
-                                     b"POST", b"/read?k=" + data), 0),
+        lambda: read_request(
+            Message(
+                [(b"x-txn", b"t"), (b"x-remaining-ms", b"5"), (b"x-labels", data)],
+                b"",
+                b"POST",
+                b"/read?k=" + data,
+            ),
+            0,
+        ),
     ):
         with suppress(ValueError, Malformed):
             attempt()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -39,16 +39,27 @@
     assert not bad["ok"] and {"line", "key", "near"} <= set(bad["problems"][0])
 
 
-@pytest.mark.parametrize("change, told", [
-    (("effect", "efect"), "did you mean"), (('127.0.0.1:8443"',
-                                             '127.0.0.1:8443"\n  tls {\n    certificate = "/no"\n'
-                                             '    key = "/no"\n  }'), "certificate /no"),
-])
+@pytest.mark.parametrize(
+    "change, told",
+    [
+        (("effect", "efect"), "did you mean"),
+        (
+            ('127.0.0.1:8443"', '127.0.0.1:8443"\n  tls {\n    certificate = "/no"\n' '    key = "/no"\n  }'),
+            "certificate /no",
+        ),
+    ],
+)
 def test_serve_with_what_cannot_be_used_says_so_in_plain_lines(tmp_path, change, told):
     path = tmp_path / "bad.hcl"
     path.write_text(Path(EXAMPLE).read_text().replace(*change))
-    done = subprocess.run([sys.executable, "-m", "pulleyroute.cli", "serve", "-c", str(path)], cwd=ROOT,
-                          capture_output=True, text=True, timeout=60, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "pulleyroute.cli", "serve", "-c", str(path)],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
     assert done.returncode == 2 and told in done.stderr and "Traceback" not in done.stderr
 
 
@@ -59,8 +70,10 @@
         text = text.replace(f"127.0.0.1:{port}", "127.0.0.1:0")
     path.write_text(text)
     process = subprocess.Popen(
-        [sys.executable, "-m", "pulleyroute.cli", "serve", "-c", str(path), "--log-format", "json"], cwd=ROOT,
-        stderr=subprocess.PIPE)
+        [sys.executable, "-m", "pulleyroute.cli", "serve", "-c", str(path), "--log-format", "json"],
+        cwd=ROOT,
+        stderr=subprocess.PIPE,
+    )
 
     def until(event):
         for line in process.stderr:
@@ -86,8 +99,10 @@
 
 
 def test_a_json_line_that_is_too_long_stays_json():
-    record = {"text": "x", "record": {"message": "m" * 9000, "level": {"name": "INFO"},
-                                      "extra": {"event": "e"}}}
+    record = {
+        "text": "x",
+        "record": {"message": "m" * 9000, "level": {"name": "INFO"}, "extra": {"event": "e"}},
+    }
     line = shortened(json.dumps(record).encode())
     assert len(line) < LINE_LIMIT and json.loads(line)["extra"] == {"event": "e"} and json.loads(line)["cut"]
     assert json.loads(shortened(b"no json"))["cut"]
@@ -95,20 +110,55 @@
 
 def test_the_platforms_start_imports_nothing_heavy():
     """`python -m pulleyroute` runs in 32 MB: these and the standard library, nothing of the extras."""
-    code = ("import sys, pulleyroute.__main__\n"
-            "tops = {name.partition('.')[0] for name in sys.modules if not name.startswith('_')}\n"
-            "print(*sorted(tops - set(sys.stdlib_module_names)))\n"
-            "print(*sorted(name for name in sys.modules if name.startswith('pulleyroute')))")
-    done = subprocess.run([sys.executable, "-S", "-c", code], cwd=ROOT, capture_output=True, text=True,
-                          check=True,
-                          env={**os.environ, "PYTHONPATH": os.pathsep.join(
-                              [str(ROOT), *(each for each in sys.path if each.endswith("site-packages"))])})
+    code = (
+        "import sys, pulleyroute.__main__\n"
+        "tops = {name.partition('.')[0] for name in sys.modules if not name.startswith('_')}\n"
+        "print(*sorted(tops - set(sys.stdlib_module_names)))\n"
+        "print(*sorted(name for name in sys.modules if name.startswith('pulleyroute')))"
+    )
+    done = subprocess.run(
+        [sys.executable, "-S", "-c", code],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=True,
+        env={
+            **os.environ,
+            "PYTHONPATH": os.pathsep.join(
+                [str(ROOT), *(each for each in sys.path if each.endswith("site-packages"))]
+            ),
+        },
+    )
     outside, inside = (set(line.split()) for line in done.stdout.splitlines())
     assert outside == {"h11", "loguru", "pulleyroute"}
-    assert inside == {"pulleyroute", *(f"pulleyroute.{name}" for name in (
-        "__main__", "interface", "rules", "settings", "net", "net.backoff", "net.buffers",
-        "net.config", "net.host", "net.duty", "net.figures", "net.handover", "net.http",
-        "net.management", "recall",
-        "net.instance", "net.listener", "net.log", "net.loop", "net.moderation", "net.discovery",
-        "net.process",
-        "net.service_client"))}
+    assert inside == {
+        "pulleyroute",
+        *(
+            f"pulleyroute.{name}"
+            for name in (
+                "__main__",
+                "interface",
+                "rules",
+                "settings",
+                "net",
+                "net.backoff",
+                "net.buffers",
+                "net.config",
+                "net.host",
+                "net.duty",
+                "net.figures",
+                "net.handover",
+                "net.http",
+                "net.management",
+                "recall",
+                "net.instance",
+                "net.listener",
+                "net.log",
+                "net.loop",
+                "net.moderation",
+                "net.discovery",
+                "net.process",
+                "net.service_client",
+            )
+        ),
+    }
--- a/tests/test_cold_sum.py
+++ b/tests/test_cold_sum.py
@@ -33,12 +33,24 @@
 from tests.helpers import SECOND, ready
 
 ALLOWED = {  # by the settings of three deployments: slots, mean work, reports, and the obligations
-    "probed": (2, 0.8, ReportSource.PROBES, {
-        "tip_multiple": 4.0, "tip_window": 3 * SECOND, "cold_share": 0.34, "ramp_time": 8 * SECOND}),
-    "answers": (4, 0.4, ReportSource.ANSWERS, {
-        "tip_multiple": 3.0, "tip_window": SECOND * 3 // 2, "cold_share": 0.13, "ramp_time": 24 * SECOND}),
-    "unreported": (4, 0.5, ReportSource.NONE, {
-        "tip_multiple": 3.0, "tip_window": SECOND, "cold_share": 0.14, "ramp_time": 20 * SECOND}),
+    "probed": (
+        2,
+        0.8,
+        ReportSource.PROBES,
+        {"tip_multiple": 4.0, "tip_window": 3 * SECOND, "cold_share": 0.34, "ramp_time": 8 * SECOND},
+    ),
+    "answers": (
+        4,
+        0.4,
+        ReportSource.ANSWERS,
+        {"tip_multiple": 3.0, "tip_window": SECOND * 3 // 2, "cold_share": 0.13, "ramp_time": 24 * SECOND},
+    ),
+    "unreported": (
+        4,
+        0.5,
+        ReportSource.NONE,
+        {"tip_multiple": 3.0, "tip_window": SECOND, "cold_share": 0.14, "ramp_time": 20 * SECOND},
+    ),
 }
 
 
@@ -49,10 +61,21 @@
         self.slots, self.work, source, self.duties = ALLOWED[site]
         self.rng = Random(seed)
         cls = JobClass("a", Effect.SAFE, aim=SECOND // 2, give_up=10 * SECOND, worth=1.0, stretch=1.75)
-        self.site_settings = [Settings(
-            classes=[cls], dispatchers=dispatchers, me=me, max_attempts=4, cancels=True, second_copies=True,
-            tells_start=True, report_source=source, probes=source is not ReportSource.NONE, **self.duties)
-            for me in range(dispatchers)]
+        self.site_settings = [
+            Settings(
+                classes=[cls],
+                dispatchers=dispatchers,
+                me=me,
+                max_attempts=4,
+                cancels=True,
+                second_copies=True,
+                tells_start=True,
+                report_source=source,
+                probes=source is not ReportSource.NONE,
+                **self.duties,
+            )
+            for me in range(dispatchers)
+        ]
         self.start = 1_015 * SECOND
         self.each = [Dispatcher(s, seed * 1000 + s.me, 1_000 * SECOND) for s in self.site_settings]
         weights = [self.rng.lognormvariate(0, 1) for _ in self.each]
@@ -103,8 +126,9 @@
 
     def report(self, name):
         queued = len(self.queues[name])
-        return LoadReport(free_slots=max(0, self.slots - self.busy[name]), queued=queued,
-                          in_hand=self.busy[name] + queued)
+        return LoadReport(
+            free_slots=max(0, self.slots - self.busy[name]), queued=queued, in_hand=self.busy[name] + queued
+        )
 
     def probe(self, now, i, name):
         self.tell(now, i, ProbeEnded(name, Outcome.OK, 0, self.report(name)))
@@ -136,8 +160,14 @@
         to chance, and in jobs."""
         window, worst = self.duties["tip_window"], (-1e9, -1e9)
         for first in self.sent:
-            n = (self.duties["tip_multiple"] * self.share(first - self.start) * self.slots
-                 * window / SECOND / self.work)
+            n = (
+                self.duties["tip_multiple"]
+                * self.share(first - self.start)
+                * self.slots
+                * window
+                / SECOND
+                / self.work
+            )
             over = sum(1 for at in self.sent if first <= at < first + window) - n
             worst = max(worst, (over / (2 * sqrt(n) + 2), over))
         return worst
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -81,7 +81,9 @@
     assert config.listener["calls"].limits.message == 1024**2 and config.listener["calls"].address[1] == 0
     settings = pool_settings(config, config.pool["apps"])
     assert [(c.name, c.effect, c.aim, c.give_up, c.worth) for c in settings.classes] == [
-        ("look", Effect.SAFE, 250_000, 5_000_000, 1.0), ("charge", Effect.UNSAFE, 1_500_000, 25_000_000, 3.0)]
+        ("look", Effect.SAFE, 250_000, 5_000_000, 1.0),
+        ("charge", Effect.UNSAFE, 1_500_000, 25_000_000, 3.0),
+    ]
     assert settings.max_attempts == 3 and settings.zones[settings.zone] == "leicester"
     assert pool_settings(config, config.pool["boxes"]).report_source is ReportSource.PROBES
     table = DiscoveryClient(None, None, ("127.0.0.1", 1), settings, 0)  # type: ignore[arg-type]
@@ -89,41 +91,74 @@
     assert table.active(b"a") and not table.active(b"b") and table.member(b"b").address == ("127.0.0.1", 9002)
 
 
-@pytest.mark.parametrize("old, new, told", [
-    ('name = "n1"', 'nam = "n1"',
-     ["nam: expected a known key, found an unknown one; did you mean 'name'?"]),
-    ("attempts = 3", "attempts = 0", ["pool.apps.attempts: expected a whole number >= 1, found 0"]),
-    ("attempts = 3", 'attempts = "3"', ["pool.apps.attempts: expected a whole number, found '3'"]),
-    ("attempts = 3", "attempts = 1 + 2", ["pool.apps.attempts: expected a literal value, "]),
-    ("attempts = 3", "attempts = var.x", ["pool.apps.attempts: expected a literal value, "]),
-    ("attempts = 3", "attempts = 3\n  attempts = 4", ["pool.apps.attempts: expected each key once"]),
-    ("attempts = 3", "attempts {}",
-     ["pool.apps.attempts: expected a value: attempts = ..., found a block"]),
-    ('aim     = "250ms"', "aim     = 250", ['class.look.aim: expected a time such as "250ms"']),
-    ('message = "1MiB"', 'message = "1MB"', ['listener.calls.limits.message: expected a size such as']),
-    ('message = "1MiB"', 'mesage = "1MiB"', ["listener.calls.limits.mesage: expected a known key"]),
-    ('protocol = "grpc"\n  address', 'protocol = "grcp"\n  address',
-     ["listener.calls.protocol: expected one of 'jobs', 'grpc', found 'grcp'"]),
-    ('class   = "charge"', 'class   = "chrge"',
-     ["route.charges.class: expected a class, found 'chrge'; did you mean 'charge'?"]),
-    ('pool    = "apps"', 'pool    = "boxes"',
-     ["route.charges.pool: expected a pool of grpc, found 'boxes'"]),
-    ('effect  = "unsafe"\n', "", ["class.charge.effect: expected a value, found none"]),
-    ('give_up = "5s"', 'give_up = "100ms"', ["class.look.give_up: expected at least aim"]),
-    ('address = "127.0.0.1:9001"', 'address = "localhost:9001"',
-     ["pool.apps.instance.a.address: expected"]),
-    ('pool     = "boxes"', "", ["listener.jobs.pool: expected a pool of jobs, found none"]),
-    ("  reports   =", '  instance "x" {\n    address = "127.0.0.1:1"\n  }\n  reports   =',
-     ["pool.boxes.instance: expected either discovery or instances, found both"]),
-    ('route "charges" {',
-     'route "again" {\n  service = "shop.Charges"\n  pool = "apps"\n  class = "look"\n}\n'
-     'route "charges" {', ["route.charges: expected service, service and method, or prefix, each once"]),
-    ('name = "n1"', 'name = "n1', ["syntax: expected HCL"]),
-    ("listener \"calls\" {", "listener {", ["listener: expected one name"]),
-    (GOOD, "", ["class: expected at least one block of it, found none",
+@pytest.mark.parametrize(
+    "old, new, told",
+    [
+        (
+            'name = "n1"',
+            'nam = "n1"',
+            ["nam: expected a known key, found an unknown one; did you mean 'name'?"],
+        ),
+        ("attempts = 3", "attempts = 0", ["pool.apps.attempts: expected a whole number >= 1, found 0"]),
+        ("attempts = 3", 'attempts = "3"', ["pool.apps.attempts: expected a whole number, found '3'"]),
+        ("attempts = 3", "attempts = 1 + 2", ["pool.apps.attempts: expected a literal value, "]),
+        ("attempts = 3", "attempts = var.x", ["pool.apps.attempts: expected a literal value, "]),
+        ("attempts = 3", "attempts = 3\n  attempts = 4", ["pool.apps.attempts: expected each key once"]),
+        (
+            "attempts = 3",
+            "attempts {}",
+            ["pool.apps.attempts: expected a value: attempts = ..., found a block"],
+        ),
+        ('aim     = "250ms"', "aim     = 250", ['class.look.aim: expected a time such as "250ms"']),
+        ('message = "1MiB"', 'message = "1MB"', ["listener.calls.limits.message: expected a size such as"]),
+        ('message = "1MiB"', 'mesage = "1MiB"', ["listener.calls.limits.mesage: expected a known key"]),
+        (
+            'protocol = "grpc"\n  address',
+            'protocol = "grcp"\n  address',
+            ["listener.calls.protocol: expected one of 'jobs', 'grpc', found 'grcp'"],
+        ),
+        (
+            'class   = "charge"',
+            'class   = "chrge"',
+            ["route.charges.class: expected a class, found 'chrge'; did you mean 'charge'?"],
+        ),
+        (
+            'pool    = "apps"',
+            'pool    = "boxes"',
+            ["route.charges.pool: expected a pool of grpc, found 'boxes'"],
+        ),
+        ('effect  = "unsafe"\n', "", ["class.charge.effect: expected a value, found none"]),
+        ('give_up = "5s"', 'give_up = "100ms"', ["class.look.give_up: expected at least aim"]),
+        (
+            'address = "127.0.0.1:9001"',
+            'address = "localhost:9001"',
+            ["pool.apps.instance.a.address: expected"],
+        ),
+        ('pool     = "boxes"', "", ["listener.jobs.pool: expected a pool of jobs, found none"]),
+        (
+            "  reports   =",
+            '  instance "x" {\n    address = "127.0.0.1:1"\n  }\n  reports   =',
+            ["pool.boxes.instance: expected either discovery or instances, found both"],
+        ),
+        (
+            'route "charges" {',
+            'route "again" {\n  service = "shop.Charges"\n  pool = "apps"\n  class = "look"\n}\n'
+            'route "charges" {',
+            ["route.charges: expected service, service and method, or prefix, each once"],
+        ),
+        ('name = "n1"', 'name = "n1', ["syntax: expected HCL"]),
+        ('listener "calls" {', "listener {", ["listener: expected one name"]),
+        (
+            GOOD,
+            "",
+            [
+                "class: expected at least one block of it, found none",
                 "listener: expected at least one block of it, found none",
-                "pool: expected at least one block of it, found none"]),
-])
+                "pool: expected at least one block of it, found none",
+            ],
+        ),
+    ],
+)
 def test_a_mistake_names_file_line_key_and_what_was_expected(tmp_path, old, new, told):
     assert old in GOOD
     found = mistakes(tmp_path, GOOD.replace(old, new, 1))
@@ -150,10 +185,10 @@
         load(tmp_path / "x.hcl")
 
 
-@given(st.integers(0, len(GOOD)), st.integers(0, 30), st.text("{}=\"\n ax1.$", max_size=5))
+@given(st.integers(0, len(GOOD)), st.integers(0, 30), st.text('{}="\n ax1.$', max_size=5))
 def test_no_text_makes_anything_but_a_configuration_or_told_mistakes(tmp_path_factory, at, cut, put):
     path = tmp_path_factory.getbasetemp() / "any.hcl"
-    path.write_text(GOOD[:at] + put + GOOD[at + cut:])
+    path.write_text(GOOD[:at] + put + GOOD[at + cut :])
     try:
         load(path)
     except Invalid as exc:
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -42,7 +42,7 @@
 
     def check(self):
         bench = self.bench
-        for action in bench.log[self.seen:]:
+        for action in bench.log[self.seen :]:
             if isinstance(action, Push):
                 job, tries = action.job, self.sent.setdefault(action.job, [])
                 assert job not in self.answers and bench.now < self.deadlines[job]
@@ -83,8 +83,11 @@
     def advance(self, span):
         end = self.bench.now + span
         while self.bench.now < end:
-            due = min([t[0] for t in self.bench.timers] + [end]
-                      + [self.deadlines[job] for job, _ in self.out if self.deadlines[job] > self.bench.now])
+            due = min(
+                [t[0] for t in self.bench.timers]
+                + [end]
+                + [self.deadlines[job] for job, _ in self.out if self.deadlines[job] > self.bench.now]
+            )
             self.bench.run(max(0, min(due, end) - self.bench.now))
             self.check()
             for key in [k for k in self.out if self.deadlines[k[0]] <= self.bench.now]:
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -27,9 +27,13 @@
     if lines is not None:
         (tmp_path / "KNOWN-RED.txt").write_text(lines)
     done = subprocess.run(
-        [sys.executable, "-m", "pytest", "-p", "known_red", "-p", "no:cacheprovider", "-q"], cwd=tmp_path,
+        [sys.executable, "-m", "pytest", "-p", "known_red", "-p", "no:cacheprovider", "-q"],
+        cwd=tmp_path,
         env={**os.environ, "PYTHONPATH": str(Path(__file__).parent), "PYTEST_DISABLE_PLUGIN_AUTOLOAD": "1"},
-        text=True, capture_output=True, check=False)
+        text=True,
+        capture_output=True,
+        check=False,
+    )
     return done.returncode, done.stdout + done.stderr
 
 
@@ -49,17 +53,22 @@
     assert code == 0 and "known red passes: test_a.py::test_green: take its line out" in out
 
 
-@pytest.mark.parametrize("lines, told", [
-    ("test_a.py::test_red | no issue", "KNOWN-RED.txt:1: expected 'test id | cause | issue number'"),
-    (RED + "\n\n", "KNOWN-RED.txt:2: expected"),
-    (RED + "\n# a remark\n", "KNOWN-RED.txt:2: expected"),
-    ("test_a.py::test_red |  | 29", "KNOWN-RED.txt:1: expected"),
-    ("test_a.py::test_gone | it was renamed | 29", "expected the id of a test, not test_a.py::test_gone"),
-    ("test_b.py::test_red | its file went | 29", "expected the id of a test, not test_b.py::test_red"),
-    ("\n".join(f"test_a.py::test_{i} | many | {i}" for i in range(4)),
-     "KNOWN-RED.txt:4: expected 3 lines at most"),
-    (RED + "\n" + RED, "expected each test once"),
-])
+@pytest.mark.parametrize(
+    "lines, told",
+    [
+        ("test_a.py::test_red | no issue", "KNOWN-RED.txt:1: expected 'test id | cause | issue number'"),
+        (RED + "\n\n", "KNOWN-RED.txt:2: expected"),
+        (RED + "\n# a remark\n", "KNOWN-RED.txt:2: expected"),
+        ("test_a.py::test_red |  | 29", "KNOWN-RED.txt:1: expected"),
+        ("test_a.py::test_gone | it was renamed | 29", "expected the id of a test, not test_a.py::test_gone"),
+        ("test_b.py::test_red | its file went | 29", "expected the id of a test, not test_b.py::test_red"),
+        (
+            "\n".join(f"test_a.py::test_{i} | many | {i}" for i in range(4)),
+            "KNOWN-RED.txt:4: expected 3 lines at most",
+        ),
+        (RED + "\n" + RED, "expected each test once"),
+    ],
+)
 def test_what_is_not_in_form_ends_the_run(tmp_path, lines, told):
     code, out = run(tmp_path, lines)
     assert code == 4 and told in out and "Traceback" not in out
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -27,8 +27,16 @@
 def test_rules_do_no_input_output_and_read_no_clock():
     text = RULES.read_text()
     found = re.findall(r"^\s*(?:import|from)\s+([\w.]+)", text, re.MULTILINE)
-    assert set(found) <= {"__future__", "collections", "itertools", "math", "random", "zlib", "pulleyroute",
-                         "pulleyroute.interface"}
+    assert set(found) <= {
+        "__future__",
+        "collections",
+        "itertools",
+        "math",
+        "random",
+        "zlib",
+        "pulleyroute",
+        "pulleyroute.interface",
+    }
     assert "open(" not in text and "print(" not in text and "global " not in text
 
 
--- a/tests/test_rare_process.py
+++ b/tests/test_rare_process.py
@@ -57,8 +57,11 @@
     data = b""
     while True:
         head, mark, rest = data.partition(b"\r\n\r\n")
-        lengths = [int(line.split(b":")[1]) for line in head.lower().split(b"\r\n")
-                   if line.startswith(b"content-length")]
+        lengths = [
+            int(line.split(b":")[1])
+            for line in head.lower().split(b"\r\n")
+            if line.startswith(b"content-length")
+        ]
         if mark and len(rest) >= sum(lengths):
             return data
         piece = sock.recv(65536)
@@ -71,17 +74,31 @@
 
     def __init__(self, tmp_path, host, discovery, env=None, **limits):
         self.address, path = free_address(host), tmp_path / "config.json"
-        path.write_text(json.dumps({"name": "n", "listen": self.address, "seed": "1", "discovery": discovery,
-                                    "settings": INFO, "limits": {"sockets": SOCKETS}}))
+        path.write_text(
+            json.dumps(
+                {
+                    "name": "n",
+                    "listen": self.address,
+                    "seed": "1",
+                    "discovery": discovery,
+                    "settings": INFO,
+                    "limits": {"sockets": SOCKETS},
+                }
+            )
+        )
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         here = run.replace(".venv/bin/python", sys.executable)
         assert here != run
         clean = {key: value for key, value in os.environ.items() if not key.startswith("PROXY_")}
         self.process = subprocess.Popen(
-            ["/bin/sh", "-c", here], cwd=ROOT, stderr=subprocess.PIPE,
+            ["/bin/sh", "-c", here],
+            cwd=ROOT,
+            stderr=subprocess.PIPE,
             env={**clean, "PROXY_CONFIG": str(path), **(env or {})},
-            preexec_fn=lambda: [resource.setrlimit(getattr(resource, name), (most, most))
-                                for name, most in limits.items()])
+            preexec_fn=lambda: [
+                resource.setrlimit(getattr(resource, name), (most, most)) for name, most in limits.items()
+            ],
+        )
 
     def __enter__(self):
         return self
@@ -137,13 +154,25 @@
             watch = stack.enter_context(discovery.accept()[0])
             if b"watch=1" in watch.recv(65536):
                 break
-        members = [{"id": "s-0", "host_port": "{}:{}".format(*runner.getsockname()), "locality": "a",
-                    "flavor": "new", "cell": 0, "phase": "active", "size": 1.0, "up_since_ms": 0}]
+        members = [
+            {
+                "id": "s-0",
+                "host_port": "{}:{}".format(*runner.getsockname()),
+                "locality": "a",
+                "flavor": "new",
+                "cell": 0,
+                "phase": "active",
+                "size": 1.0,
+                "up_since_ms": 0,
+            }
+        ]
         line = json.dumps({"revision": 1, "complete": True, "members": members}).encode() + b"\n"
         watch.sendall(CHUNKS + chunk(line))
         client = stack.enter_context(connect(program.address))
-        client.sendall(b"POST /read HTTP/1.1\r\nHost: x\r\nX-Txn: t1\r\nX-Remaining-Ms: 60000\r\n"
-                       b"Content-Length: 0\r\n\r\n")
+        client.sendall(
+            b"POST /read HTTP/1.1\r\nHost: x\r\nX-Txn: t1\r\nX-Remaining-Ms: 60000\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
         job = stack.enter_context(runner.accept()[0])
         assert b"X-Txn: t1" in whole(job)
         job.sendall(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -129,8 +129,9 @@
 def test_nothing_is_pushed_to_a_draining_or_gone_worker():
     for seed in range(20):
         bench = Bench([ready(b"a"), ready(b"b"), ready(b"c")], seed)
-        bench.tell(WorkerList(2, ListKind.DELTA, [
-            Entry(b"a", WorkerState.DRAINING), Entry(b"b", WorkerState.GONE)]))
+        bench.tell(
+            WorkerList(2, ListKind.DELTA, [Entry(b"a", WorkerState.DRAINING), Entry(b"b", WorkerState.GONE)])
+        )
         assert pushed(bench.job()[1]) == b"c"
 
 
@@ -230,8 +231,9 @@
 def test_a_cold_workers_budget_counts_work_and_is_told_by_warm_workers():
     # Failure: a job guessed at thirty times the mean took one mean job of the budget; and running times of
     # cold workers, several times as long, made every budget as much smaller.
-    light, heavy = (cold_share_of(cold_bench(), 7.0, 200, cost_hint=hint)
-                    for hint in (SECOND // 4, 4 * SECOND))
+    light, heavy = (
+        cold_share_of(cold_bench(), 7.0, 200, cost_hint=hint) for hint in (SECOND // 4, 4 * SECOND)
+    )
     assert light >= 2 * heavy
     bench = cold_bench()
     while not of(Push, (told := bench.job())[1]):
@@ -478,8 +480,18 @@
         self.told = [2.0] * 20
         self.times: list[int] = []
         self.benches = [
-            Bench([ready(b"cold", started=1_000 * SECOND)], me, dispatchers=40, me=me, tip_multiple=4.0,
-                  tip_window=3 * SECOND, cold_share=0.33, ramp_time=8 * SECOND) for me in range(dispatchers)]
+            Bench(
+                [ready(b"cold", started=1_000 * SECOND)],
+                me,
+                dispatchers=40,
+                me=me,
+                tip_multiple=4.0,
+                tip_window=3 * SECOND,
+                cold_share=0.33,
+                ramp_time=8 * SECOND,
+            )
+            for me in range(dispatchers)
+        ]
         for bench in self.benches:  # of a mean load; each keeps to 8 of 60 workers, of which this one is one
             reading(bench, b"cold", free_slots=2.0)
             rules = bench.dispatcher
@@ -686,8 +698,10 @@
     assert not all(asked)
 
 
-@pytest.mark.parametrize(("job_class", "started", "off"), [
-    (SAFE, False, True), (SAFE, True, True), (UNSAFE, False, True), (UNSAFE, True, False)])
+@pytest.mark.parametrize(
+    ("job_class", "started", "off"),
+    [(SAFE, False, True), (SAFE, True, True), (UNSAFE, False, True), (UNSAFE, True, False)],
+)
 def test_what_runs_for_nobody_is_called_off_but_for_a_running_charge(job_class, started, off):
     bench = Bench([ready(b"a")])
     number, actions = bench.job(job_class)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -54,8 +54,12 @@
 
     def config(self, **changes):
         self.now |= changes
-        instances = "".join('  instance "{}" {{\n    address = "{}:{}"\n  }}\n'.format(
-            name, *self.boxes[name].sock.getsockname()) for name in self.names)
+        instances = "".join(
+            '  instance "{}" {{\n    address = "{}:{}"\n  }}\n'.format(
+                name, *self.boxes[name].sock.getsockname()
+            )
+            for name in self.names
+        )
         self.path.write_text(CONFIG.format(instances=instances, **self.now))
         return load(self.path)
 
@@ -72,6 +76,7 @@
                     box._taken.add(stream)
                     return name, stream
             return None
+
         return self.loop.until(found)
 
 
@@ -158,7 +163,8 @@
     text = play.path.read_text()
     start, end = text.index("pool "), text.index("class ")
     pool = 'pool "apps" {{\n  protocol = "grpc"\n  discovery = "{}:{}"\n  lists = "{}"\n}}\n'.format(
-        *discovery.address, lists)
+        *discovery.address, lists
+    )
     play.path.write_text(text[:start] + pool + text[end:])
     made = play.service.apply(load(play.path))
     assert made.new_pools == ["apps"]  # the decisions of a pool without discovery would never ask again
@@ -211,7 +217,9 @@
 def test_a_listener_that_comes_in_a_standby_is_on_standby_and_the_counts_of_reloads_are_told(tmp_path):
     play = Play(tmp_path)
     play.service.standby()
-    text = play.path.read_text() + """
+    text = (
+        play.path.read_text()
+        + """
 listener "jobs" {
   protocol = "jobs"
   address  = "127.0.0.1:0"
@@ -222,6 +230,7 @@
   discovery = "127.0.0.1:9"
 }
 """
+    )
     play.path.write_text(text)
     reload(play.service, play.path)
     assert not play.service.clients["jobs"].duty.ready
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -48,17 +48,38 @@
     "00 0300 c4913a5d063a0300 00 80a90300 00000000 0000 e02e0000 00000040 640ad2557c3bf091 "
 )
 INFO = {
-    "balancers": 3, "me": 1, "membership-mode": "pushed", "my-zone": 0,
+    "balancers": 3,
+    "me": 1,
+    "membership-mode": "pushed",
+    "my-zone": 0,
     "unheard-of": {"x": 1},
-    "caps": {"max-attempts": 3, "probes": True, "cancelling": True,
-             "retry-after": True, "max-retry-after": 7},
-    "classes": [{"name": "read", "effect": "read_like", "aim": 200000, "give-up": 5000000, "gain": 2.0},
-                {"name": "pay", "effect": "idempotency_key", "aim": 1, "give-up": 2, "key-scope": "cell"}],
-    "family-info": {"class-kind": [-1, 1], "class-stretch": [2.0, 2.5], "report-x0": "free slots",
-                    "report-x1": "free memory", "tells-start": True, "progress": 1000000},
+    "caps": {
+        "max-attempts": 3,
+        "probes": True,
+        "cancelling": True,
+        "retry-after": True,
+        "max-retry-after": 7,
+    },
+    "classes": [
+        {"name": "read", "effect": "read_like", "aim": 200000, "give-up": 5000000, "gain": 2.0},
+        {"name": "pay", "effect": "idempotency_key", "aim": 1, "give-up": 2, "key-scope": "cell"},
+    ],
+    "family-info": {
+        "class-kind": [-1, 1],
+        "class-stretch": [2.0, 2.5],
+        "report-x0": "free slots",
+        "report-x1": "free memory",
+        "tells-start": True,
+        "progress": 1000000,
+    },
     "load-report": {"fields": ["rif", "x0", "strange", "x1"], "via": "pull"},
-    "obligations": {"drain-grace": 250000, "fall": 1000000, "cold-share": 0.12, "ramp-time": 22000000,
-                    "tip-multiple": 4.0},
+    "obligations": {
+        "drain-grace": 250000,
+        "fall": 1000000,
+        "cold-share": 0.12,
+        "ramp-time": 22000000,
+        "tip-multiple": 4.0,
+    },
 }
 
 
@@ -99,13 +120,15 @@
     decoder = Decoder()
     sheet = bytes.fromhex(
         "02 0000 02000000 0a124a07 2b23 0000 0000000000000000 0000803f 0000 0000 01"
-        "0a9011f2 5423 0000 20145d0000000000 0000c03f 0000 0100 02")
+        "0a9011f2 5423 0000 20145d0000000000 0000c03f 0000 0100 02"
+    )
     targets = bytes.fromhex("03 0300 29000000 02 0000")
     ((instance, event),) = decoder.batch(2, sheet + targets)
     assert (instance, type(event), event.version, event.kind) == (3, WorkerList, 41, ListKind.CACHED)
     assert [(e.worker, e.state, e.started, e.size, e.zone) for e in event.entries] == [
         (WORKER, WorkerState.READY, 0, 1.0, 0),
-        (bytes.fromhex("0a9011f25423"), WorkerState.DRAINING, 0x5D1420, 1.5, 1)]
+        (bytes.fromhex("0a9011f25423"), WorkerState.DRAINING, 0x5D1420, 1.5, 1),
+    ]
     other = bytes.fromhex("02 0000 00000000")
     events = decoder.batch(3, targets + other + targets)
     assert [len(e.entries) for _, e in events] == [2, 0]
@@ -157,19 +180,24 @@
     settings, fields = decode_settings(json.dumps(INFO).encode())
     assert settings.report_source is ReportSource.PROBES and settings.max_retry_after == 7
     assert [(c.effect, c.kind, c.stretch) for c in settings.classes] == [
-        (Effect.SAFE, -1, 2.0), (Effect.KEYED, 1, 2.5)]
+        (Effect.SAFE, -1, 2.0),
+        (Effect.KEYED, 1, 2.5),
+    ]
     assert fields == ("in_hand", "free_slots", None, "free_memory")
 
 
-@pytest.mark.parametrize(("path", "value", "named"), [
-    (["caps", "max-attempts"], None, "caps.max-attempts"),
-    (["caps", "max-attempts"], 0, "caps.max-attempts"),
-    (["obligations", "tip-multiple"], "many", "obligations.tip-multiple"),
-    (["classes"], [], "classes"),
-    (["classes"], None, "classes"),
-    (["membership-mode"], "telepathy", "membership-mode"),
-    (["balancers"], float("nan"), "balancers"),
-])
+@pytest.mark.parametrize(
+    ("path", "value", "named"),
+    [
+        (["caps", "max-attempts"], None, "caps.max-attempts"),
+        (["caps", "max-attempts"], 0, "caps.max-attempts"),
+        (["obligations", "tip-multiple"], "many", "obligations.tip-multiple"),
+        (["classes"], [], "classes"),
+        (["classes"], None, "classes"),
+        (["membership-mode"], "telepathy", "membership-mode"),
+        (["balancers"], float("nan"), "balancers"),
+    ],
+)
 def test_a_missing_or_senseless_setting_is_named(path, value, named):
     info = json.loads(json.dumps(INFO))
     place = info
@@ -183,15 +211,18 @@
         decode_settings(json.dumps(info).encode())
 
 
-@pytest.mark.parametrize(("count", "body", "text"), [
-    (1, b"\x63", "unknown record code 99"),
-    (1, bytes.fromhex("04 0300 4d00"), "truncated record of code 4"),
-    (2, bytes.fromhex("04 0300 4d000000"), "truncated record"),
-    (1, bytes.fromhex("04 0300 4d000000 00"), "left over"),
-    (1, bytes.fromhex("03 0300 29000000 01 0700"), "unknown list number 7"),
-    (1, bytes.fromhex("02 0000 ffffffff"), "truncated record of code 2"),
-    (1, begin()[:-3], "truncated record of code 8"),
-])
+@pytest.mark.parametrize(
+    ("count", "body", "text"),
+    [
+        (1, b"\x63", "unknown record code 99"),
+        (1, bytes.fromhex("04 0300 4d00"), "truncated record of code 4"),
+        (2, bytes.fromhex("04 0300 4d000000"), "truncated record"),
+        (1, bytes.fromhex("04 0300 4d000000 00"), "left over"),
+        (1, bytes.fromhex("03 0300 29000000 01 0700"), "unknown list number 7"),
+        (1, bytes.fromhex("02 0000 ffffffff"), "truncated record of code 2"),
+        (1, begin()[:-3], "truncated record of code 8"),
+    ],
+)
 def test_malformed_records_are_named(count, body, text):
     with pytest.raises(WireError, match=text):
         records(count, body)
@@ -230,14 +261,28 @@
     assert reply[8] == 9 and b"IndexError: out of range" in reply and b"TimerFired(token=77)" in reply
 
 
-@pytest.mark.parametrize("stream", [
-    b"\x01\x00", batch(1, b"\x63"), batch(1, bytes.fromhex("04 0300 4d000000")), batch(0, b"")[:12],
-    BATCH_HEADER.pack(1, 100, 0) + b"short", BATCH_HEADER.pack(0, 3, 0), batch(1, begin(info={})),
-])
+@pytest.mark.parametrize(
+    "stream",
+    [
+        b"\x01\x00",
+        batch(1, b"\x63"),
+        batch(1, bytes.fromhex("04 0300 4d000000")),
+        batch(0, b"")[:12],
+        BATCH_HEADER.pack(1, 100, 0) + b"short",
+        BATCH_HEADER.pack(0, 3, 0),
+        batch(1, begin(info={})),
+    ],
+)
 def test_a_malformed_frame_ends_with_one_plain_line(stream):
     root = Path(__file__).parent.parent
-    done = subprocess.run([sys.executable, "-m", "pulleyroute.adapter"], input=stream, cwd=root,
-                          capture_output=True, timeout=60, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "pulleyroute.adapter"],
+        input=stream,
+        cwd=root,
+        capture_output=True,
+        timeout=60,
+        check=False,
+    )
     assert done.returncode == 1
     assert done.stderr.count(b"\n") == 1 and done.stderr.startswith(b"pulleyroute: ")
 
