Send nothing by a handed list until discovery has spoken in the life of the process

Lines at fault: __main__.build listened and said ready before DiscoveryClient had made its first call, and the gate before an attempt (Host._allowed) asks DiscoveryClient.active, which answered by `known` of the configuration as if discovery had said it.

Change: net/list_freshness.py owns whether the list may be used. A process is ready, and sends, once discovery has spoken, or, where it can't be reached, once a call in the last 0.3 s of 5.5 s or after it has failed. Requests that come before wait for half of their time and are refused then. A new process at a hand-over takes the old one's list as confirmed only if that one might use it and discovery has not told the new one more.

tests/test_rare_process.py: one case took the first connection in discovery's queue as the live one. The program is ready later now, so that its first call may be over by then: the case takes the first whose caller still waits. What it checks is unchanged.

--- a/pulleyroute/__main__.py
+++ b/pulleyroute/__main__.py
@@ -145,15 +145,17 @@
         figures,
     )
     parts = Parts(config, ledger, discovery, instances, clients, host, figures)
+    discovery.begin()
     if listener is None:
-        listening(config.listen, clients.listen)
+        # Open from the start, for `/-/ready` and call-backs; clients are wanted once the list may be used.
+        listening(config.listen, clients.listener.listen)
+        discovery.freshness.when_usable(clients.duty.serve)
     if config.management is not None:
         listening(config.management, Management(loop, pool, verbs(parts)).listen)
     if listener is not None:
         meeting = place(os.environ.get("TMPDIR") or "/tmp", listener)
         handover = Handover(loop, meeting, clients, host, discovery, parts)
         loop.spawn(handover.take_over(listener), "hand-over start")
-    discovery.begin()
     return parts
 
 
--- a/pulleyroute/net/discovery.py
+++ b/pulleyroute/net/discovery.py
@@ -25,6 +25,7 @@
 from pulleyroute.net.backoff import Backoff
 from pulleyroute.net.buffers import BufferPool
 from pulleyroute.net.http import Broken, Crowded, Late, Malformed, Stream, connect, parse_address
+from pulleyroute.net.list_freshness import ListFreshness
 from pulleyroute.net.loop import Coroutine, Loop, Task, Wait
 
 PATH = b"/api/targets"
@@ -122,6 +123,7 @@
         self._moved = False  # since the whole list was last told: the version is of another address
         self._patient_until = 0  # a failure before this is not told but tried again
         self._watch: Task | None = None
+        self.freshness = ListFreshness()
         self.tell: Callable[[WorkerList], None] = lambda news: None
 
     def member(self, instance: WorkerId) -> Member | None:
@@ -168,9 +170,16 @@
         """How many instances the list names."""
         return sum(1 for member in self._members.values() if member.listed)
 
-    def load_known(self, known: Any) -> None:
-        """Take a list that came otherwise than from discovery; raises ValueError if it is malformed."""
-        self.tell(self._take(known, cached=True))
+    def load_known(self, known: Any, confirmed: bool = False) -> None:
+        """Take a list that came otherwise than from discovery; raises ValueError if it is malformed.
+
+        `confirmed`: the process before this one may use it, and so may this one.
+        """
+        news = self._take(known, cached=True)
+        self.freshness.replace()
+        self.tell(news)
+        if confirmed:
+            self.freshness.confirm()
         if self._watch is not None:
             self._open()  # from this list's version: it may be older than what the watch has told
 
@@ -210,7 +219,11 @@
             self._watch.start()
 
     def begin(self) -> None:
-        """A process begins: open the watch, where one discovery serves all not all of them at once."""
+        """A process begins: open the watch, where one discovery serves all not all of them at once.
+
+        Until discovery has spoken, the list that this process was handed is not used: see `ListFreshness`.
+        """
+        self.freshness.begin(self._loop.now(), self._random.random())
         spread = _spread(self._settings) if self._settings.list_on_request else 0
         self._open(start=int(self._random.random() * spread))
 
@@ -267,7 +280,7 @@
         except _FAILURES as exc:
             self._failed("fetch", str(exc) or "no answer in time")
             return
-        self.tell(news)
+        self._confirmed(news)
 
     def _watching(self, start: int) -> Coroutine[None]:
         if start:
@@ -280,10 +293,14 @@
                     news = yield from self._whole()
                     self._moved = False
                     self._back_since = None
-                    self._news(news)
+                    self._confirmed(news)
                 yield from self._following()
             except _FAILURES as exc:
                 why = str(exc) or "no line in time"
+                if self.freshness.call_failed(self._loop.now()):
+                    logger.bind(event="discovery.unreachable").warning(
+                        "discovery: not reached since the start, the configuration's list is used: {}", why
+                    )
                 if self._loop.now() < self._patient_until:
                     # Guards the time limit after a move, which the module's longer pauses would pass.
                     logger.info("discovery: {}:{} failed: {}", *self._discovery, why)
@@ -308,7 +325,7 @@
                 return
         crowded = self._settings.list_on_request and since is None and self._loop.now() - called >= CROWDED
         pause = self._crowded if crowded else self._pause
-        yield Wait(until=self._loop.now() + pause.failed())
+        yield Wait(until=self.freshness.next_call(self._loop.now() + pause.failed()))
 
     def _following(self) -> Coroutine[None]:
         """Tell of changes until the watch breaks."""
@@ -338,10 +355,23 @@
     def _word(self, word: bytes) -> None:
         """One word of a watch, empty where nothing has changed; raises ValueError if it is malformed."""
         data = json.loads(word) if word else None
-        if data is not None:
-            self._news(self._take(self._still_true(data) if self._older(data) else data, cached=False))
-        elif self._deaf:
-            self._news(WorkerList(self._version, ListKind.DELTA, []))  # nothing has changed meanwhile
+        if data is None:
+            self._unchanged()
+        elif self._older(data):
+            self._news(self._take(self._still_true(data), cached=False))
+        else:
+            self._confirmed(self._take(data, cached=False))
+
+    def _unchanged(self) -> None:
+        """Nothing has changed since the last word; the decisions hear so if they were told of a failure."""
+        if self._deaf:
+            self._news(WorkerList(self._version, ListKind.DELTA, []))
+        self.freshness.confirm()
+
+    def _confirmed(self, news: WorkerList) -> None:
+        """The list as discovery has it now: told first, as what has waited for it is decided by it."""
+        self._news(news)
+        self.freshness.confirm()
 
     def _news(self, news: WorkerList) -> None:
         self._deaf = False
--- a/pulleyroute/net/duty.py
+++ b/pulleyroute/net/duty.py
@@ -45,6 +45,7 @@
     def __init__(self) -> None:
         self.phase = Phase.STARTING
         self._before = Phase.STARTING  # the phase that was handed over
+        self._after_standby = Phase.SERVING
         self.handed = False
         self._keep()
 
@@ -61,6 +62,7 @@
 
     def serve(self) -> None:
         """Clients may come."""
+        self._after_standby = Phase.SERVING
         if self.phase is Phase.STARTING:
             self.phase = Phase.SERVING
 
@@ -68,6 +70,7 @@
         """Drain, and stay; whether anything changed."""
         if self.phase not in (Phase.STARTING, Phase.SERVING):
             return False
+        self._after_standby = self.phase
         self.phase = Phase.STANDBY
         self.close_from = now
         self.idle_from = now + STANDBY_IDLE
@@ -79,7 +82,7 @@
         """Back to work, at any moment of a drain; whether anything changed. A process that ends stays so."""
         if self.phase is not Phase.STANDBY:
             return False
-        self.phase = Phase.SERVING
+        self.phase = self._after_standby
         self._keep()
         return True
 
--- a/pulleyroute/net/handover.py
+++ b/pulleyroute/net/handover.py
@@ -210,6 +210,11 @@
             while not (link.closed or self._whole) and self._loop.now() < until:
                 yield Wait(until=min(until, self._loop.now() + 5_000))
             phase = self._use(link, state)
+        # The old process goes on until then; without one, clients wait in the listener's queue.
+        self._discovery.freshness.when_usable(lambda: self._serve(listener, phase))
+
+    def _serve(self, listener: socket.socket, phase: Phase) -> None:
+        """Take the clients, in the phase that the old process was in."""
         if self._clients.duty.phase is Phase.ENDING:
             return  # SIGTERM came first: the old process, if there is one, goes on
         self._clients.listener.listen_on(listener)
@@ -262,7 +267,10 @@
         try:
             for values in state:
                 if values.get("list") is not None:
-                    self._discovery.load_known(values["list"])
+                    # Discovery may have told this process more already than the old one knew.
+                    recent = values["list"]["revision"] >= self._discovery.version
+                    usable = values.get("usable") is True
+                    self._discovery.load_known(values["list"], confirmed=usable and recent)
                     # At once: what discovery has told the old one since is not to be missed.
                     self._discovery.watch(True)
                 for item in values.get("known", []):
@@ -346,7 +354,12 @@
         members = self._discovery.entries()
         parts: list[Values] = [{"phase": self._clients.duty.phase.value}]
         # The list first: what is known of an instance goes to one that is listed.
-        parts.append({"list": {"revision": self._discovery.version, "complete": True, "members": members}})
+        parts.append(
+            {
+                "list": {"revision": self._discovery.version, "complete": True, "members": members},
+                "usable": self._discovery.freshness.usable,
+            }
+        )
         parts += [{"known": known[at : at + PART]} for at in range(0, len(known), PART)]
         for number, part in enumerate(parts):
             values = {**part, "version": VERSION, "now": self._loop.now(), "last": number == len(parts) - 1}
--- a/pulleyroute/net/host.py
+++ b/pulleyroute/net/host.py
@@ -29,6 +29,9 @@
 MARGIN_SHARE = 8  # and never earlier than this part of its time
 # Of a keyed class's window, for a repeat's way to its instance: the slack that the protocol gives each limit.
 ON_THE_WAY = 50_000
+# A request that comes before the list may be used waits for it at most this part of its time: the rest is for
+# an attempt, or for the client to come again elsewhere.
+LIST_WAIT_SHARE = 2
 GUARD = 20_000  # after a job's own deadline the host answers whatever the module says
 
 
@@ -264,11 +267,20 @@
         deadline = self._loop.now() + left
         job = Job(self._count, request, reply, deadline, cls, self._settings.max_attempts, self._loop.now())
         self._hold(job)
+        if self._discovery.freshness.usable:
+            self._arrive(job)
+        else:
+            self._wait_for_list(job)
+        return job
+
+    def _arrive(self, job: Job) -> None:
+        """The decisions hear of a request."""
+        request = job.request
         self.post(
             api.JobArrived(
                 job.number,
                 request.job_class,
-                left,
+                job.deadline - self._loop.now(),
                 request.slots,
                 request.memory,
                 cost_hint=request.hint,
@@ -276,7 +288,29 @@
                 is_repeat=request.is_repeat,
             )
         )
-        return job
+
+    def _wait_for_list(self, job: Job) -> None:
+        """Keep a request until the list may be used, for a part of its time, and refuse it then."""
+        now = self._loop.now()
+        timer = self._loop.call_at(now + (job.deadline - now) // LIST_WAIT_SHARE, lambda: self._unlisted(job))
+
+        def listed() -> None:
+            timer.cancel()
+            if job.answered:
+                return
+            classes, number = self._settings.classes, job.request.job_class
+            if number < len(classes) and classes[number] == job.cls:
+                self._arrive(job)
+            else:  # a reload has changed the class meanwhile, and the decisions know it by number
+                self._unlisted(job)
+
+        self._discovery.freshness.when_usable(listed)
+
+    def _unlisted(self, job: Job) -> None:
+        """The list did not become usable in time for this request: it was not sent and may come again."""
+        if not job.answered:
+            advice = min(job.cls.aim, self._settings.max_retry_after)
+            self._answer(job, Answer(Ending.REFUSED, retry_after=advice))
 
     def _hold(self, job: Job) -> None:
         """A job is taken: it is found by its number and its id, and is answered in time."""
@@ -615,7 +649,7 @@
 
     def _allowed(self, job: Job, attempt: Attempt) -> bool:
         now, instance, discovery = self._loop.now(), attempt.instance, self._discovery
-        if now >= attempt.timeout_at:
+        if now >= attempt.timeout_at or not discovery.freshness.usable:
             return False
         if not discovery.active(instance) or discovery.incarnation(instance) != attempt.incarnation:
             # Guards the drain rule, and an instance that has started anew: it is cold now, and what the
--- a/tests/test_rare_process.py
+++ b/tests/test_rare_process.py
@@ -52,6 +52,14 @@
     return (get(address, b"/-/ready") or b"").startswith(b"HTTP/1.1 200 ")
 
 
+def ended(sock):
+    """Whether the other end has closed the connection."""
+    try:
+        return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+
+
 def whole(sock):
     """One whole message."""
     data = b""
@@ -150,9 +158,9 @@
             assert client.recv(65536).startswith(b"HTTP/1.1 200 ")
         for listener in (discovery, runner):
             listener.settimeout(GIVEN_TIME)
-        while True:  # it is back: a watch gets through
+        while True:  # it is back: a watch gets through, of which the caller still waits for the answer
             watch = stack.enter_context(discovery.accept()[0])
-            if b"watch=1" in watch.recv(65536):
+            if b"watch=1" in watch.recv(65536) and not ended(watch):
                 break
         members = [
             {
