Call a discovery that is away each in its own slot, so that all are through in 6 s

Cause: pauses drawn from 0 to 2 s bunch. At the return of discovery twice as many callers are due in the first moment as on average, 200 a second where 50 are answered; what then waits is turned away, each at the cost of a turn. 4 s of work have to fit into 6 s, so that hardly a turn may be lost.

Change: from the second call in vain on a dispatcher calls in its own slot of a period that all share, by its number and the machines' clock (net/call_slots.py). The longest pause grows from 2 to 4.2 s, and a call has for its answer what is left of the 6 s after the silence and the pause before it, 1.2 to 3.4 s. The first call of a process and the pauses after calls that were turned away stay as they were, so that a start of many at once is not changed.

The simulated discovery now asks the real clients when to call and how long they wait, in place of a copy of that logic; its outage stays at 10 s. New: outages of 1, 2, 3, 5, 20 s; the slots. The sum of the bounds was three assertions on constants; one of them spoke of a bound that now depends on what was spent: it is asserted for every pause up to the longest, and with the silence. "A watch that has fallen silent counts as one that stood" was SILENCE >= LONGEST_PAUSE; it is STOOD, by which the program decides it now.

--- a/pulleyroute/net/backoff.py
+++ b/pulleyroute/net/backoff.py
@@ -12,18 +12,18 @@
     Times are whole microseconds. The draws are the given generator's, so that a run replays from its seed.
     """
 
-    __slots__ = ("_base", "_failures", "_random", "cap")
+    __slots__ = ("_base", "_random", "cap", "failures")
 
     def __init__(self, base: int, cap: int, random: Random) -> None:
         self._base, self.cap, self._random = base, cap, random
-        self._failures = 0
+        self.failures = 0  # since the last success
 
     def failed(self) -> int:
         """A try has failed: the time to let pass before the next."""
-        limit = min(self.cap, self._base * 2 ** min(self._failures, 40))
-        self._failures += 1
+        limit = min(self.cap, self._base * 2 ** min(self.failures, 40))
+        self.failures += 1
         return int(self._random.random() * limit)
 
     def succeeded(self) -> None:
         """A try has gone well: the next failure is a first one again."""
-        self._failures = 0
+        self.failures = 0
--- a/pulleyroute/net/discovery.py
+++ b/pulleyroute/net/discovery.py
@@ -24,6 +24,7 @@
 from pulleyroute.net import log
 from pulleyroute.net.backoff import Backoff
 from pulleyroute.net.buffers import BufferPool
+from pulleyroute.net.call_slots import CallSlots
 from pulleyroute.net.http import Broken, Crowded, Late, Malformed, Stream, connect, parse_address
 from pulleyroute.net.list_freshness import ListFreshness
 from pulleyroute.net.loop import Coroutine, Loop, Task, Wait
@@ -36,12 +37,19 @@
 FIRST_PAUSE = 500_000  # before the first call after a watch has ended, at most
 CONNECT_TIME = 600_000
 # To the head of a watch, or the whole list: discovery works through its calls in turn, and one that is given
-# up before it is answered or turned away is work for nobody, and keeps others waiting.
-FIRST_ANSWER, ANSWER = 2_400_000, 3_400_000  # after a silence, and else
-LONGEST_PAUSE = 2_000_000  # between two calls while discovery is away, and before the first of a process
+# up before it is answered or turned away is work for nobody, and keeps others waiting. A call has what is
+# left of `TOLD` after the silence and the pause before it, from LEAST_ANSWER to ANSWER.
+LEAST_ANSWER, ANSWER = 1_200_000, 3_400_000
+# Between two calls while discovery is away: as long as `TOLD` allows, so that the calls of a large fleet come
+# no faster at its return than they must.
+LONGEST_PAUSE = 4_200_000
+STOOD = 2_000_000  # a watch that lasted so long stood, however long the pauses: it is opened anew soon
 CROWDED = 700_000  # a call that fails after so long has waited for its turn: discovery has too many callers
-# Of the pauses, for each dispatcher that calls the same discovery.
-FIRST_SHARE, LONGEST_SHARE = 25_000, 50_000
+# Of the pauses, for each dispatcher that calls the same discovery. The longest: the slots of a fleet whose
+# discovery answers ten calls a second.
+FIRST_SHARE, LONGEST_SHARE = 25_000, 110_000
+# The first calls of processes are spread over so long, by the fleet's size.
+START_SPREAD, START_SHARE = 2_000_000, 50_000
 LEAST_LONGEST = 250_000  # for a discovery that is away, however small the fleet
 MOVE_TIME = 4_000_000  # after a move, calls that fail are tried again for so long before the module is told
 MOVE_PAUSE = 500_000  # the longest pause between two of them
@@ -111,6 +119,7 @@
         self._settings = settings
         self._pause = self._backoff(settings)
         self._crowded = self._crowd(settings)
+        self._slots = self._slotted(settings)
         self._answer_time = ANSWER
         self._open_since: int | None = None  # of a watch: when its head came
         self._deaf = False  # the watch has failed, and nothing has been heard since
@@ -154,6 +163,7 @@
         self._settings = settings
         self._pause = self._backoff(settings)
         self._crowded = self._crowd(settings)
+        self._slots = self._slotted(settings)
         return replace(settings, zone=zone, classes=classes)
 
     @property
@@ -189,12 +199,16 @@
         if settings.list_on_request:
             # Guards one discovery against all at once: the larger the fleet, the wider its calls are spread.
             first = min(FIRST_PAUSE, settings.dispatchers * FIRST_SHARE)
-            longest = max(LEAST_LONGEST, _spread(settings))
+            longest = max(LEAST_LONGEST, min(LONGEST_PAUSE, settings.dispatchers * LONGEST_SHARE))
         else:
             grace = max(1, settings.drain_grace)
             first, longest = grace // PUSHED_FIRST, grace // PUSHED_LONGEST
         return Backoff(max(1, first), max(1, longest), self._random)
 
+    def _slotted(self, settings: Settings) -> CallSlots:
+        """The calls to a discovery that is away, from the second one in vain on."""
+        return CallSlots(self._pause.cap, settings.me, settings.dispatchers)
+
     def _crowd(self, settings: Settings) -> Backoff:
         """The pauses while discovery has too many callers.
 
@@ -202,7 +216,7 @@
         than it can work through. The settings say how long not asking is excused.
         """
         cap = max(self._pause.cap, settings.ask_every)
-        return Backoff(2 * self._pause.cap, cap, self._random)
+        return Backoff(2 * max(LEAST_LONGEST, _start_spread(settings)), cap, self._random)
 
     def watch(self, on: bool) -> None:
         """Keep a watch open from now on, or cease. One that is open, or is being opened, goes on as it is."""
@@ -224,7 +238,8 @@
         Until discovery has spoken, the list that this process was handed is not used: see `ListFreshness`.
         """
         self.freshness.begin(self._loop.now(), self._random.random())
-        spread = _spread(self._settings) if self._settings.list_on_request else 0
+        # An agent serves one process alone.
+        spread = _start_spread(self._settings) if self._settings.list_on_request else 0
         self._open(start=int(self._random.random() * spread))
 
     def move(self, discovery: tuple[str, int]) -> None:
@@ -310,22 +325,39 @@
 
     def _resting(self, called: int, late: bool, why: str) -> Coroutine[None]:
         """The watch has ended: the pause before it is opened anew."""
-        since = self._open_since
-        self._answer_time = FIRST_ANSWER if late and since is not None else ANSWER
+        since, now = self._open_since, self._loop.now()
+        silence = SILENCE if late and since is not None else 0
+        self._answer_time = time_to_answer(silence)
         if not self._deaf:
             # Guards the log: a discovery that is down is told of once, and once more when it speaks again.
             self._deaf = True
             self._failed("watch", why)
-        if since is not None and self._loop.now() - since >= self._pause.cap:
+        if since is not None and now - since >= min(STOOD, self._pause.cap):
             # Guards the drain rule: a watch that stood is opened anew at once, as there may be more to tell.
             # One that breaks as soon as it is open is not, as it would be so again; nor is a call that waited
             # for long and was turned away, or a discovery with too many callers would have ever more.
             self._pause.succeeded()
             if not self._settings.list_on_request:
                 return
-        crowded = self._settings.list_on_request and since is None and self._loop.now() - called >= CROWDED
-        pause = self._crowded if crowded else self._pause
-        yield Wait(until=self.freshness.next_call(self._loop.now() + pause.failed()))
+        pause = self._pause_after(called, silence)
+        yield Wait(until=self.freshness.next_call(now + pause))
+
+    def _pause_after(self, called: int, silence: int) -> int:
+        """How long to wait after a call that began then and was in vain, or whose watch fell silent.
+
+        `silence`: for how long it was. Decides too how long the next call may take.
+        """
+        now, asked = self._loop.now(), self._settings.list_on_request
+        if asked and self._open_since is None and now - called >= CROWDED:
+            self._answer_time = ANSWER
+            return self._crowded.failed()
+        if asked and self._pause.failures:
+            unix = self._epoch + now
+            pause = self._slots.next(unix, self._random.random()) - unix
+        else:
+            pause = self._pause.failed()
+        self._answer_time = time_to_answer(silence + pause)
+        return pause
 
     def _following(self) -> Coroutine[None]:
         """Tell of changes until the watch breaks."""
@@ -469,9 +501,14 @@
         return (int(unix_ms * 1000) - self._epoch or 1) if unix_ms else 0
 
 
-def _spread(settings: Settings) -> int:
-    """Over how long the calls of all dispatchers of one discovery are spread."""
-    return min(LONGEST_PAUSE, settings.dispatchers * LONGEST_SHARE)
+def _start_spread(settings: Settings) -> int:
+    """Over how long the first calls of all dispatchers of one discovery are spread."""
+    return min(START_SPREAD, settings.dispatchers * START_SHARE)
+
+
+def time_to_answer(spent: int) -> int:
+    """How long a call may take for its answer, where so much of `TOLD` has gone before it."""
+    return max(LEAST_ANSWER, min(ANSWER, TOLD - spent - CONNECT_TIME))
 
 
 def _number(names: dict[str, int], name: object) -> int:
--- a/tests/net/test_list_age.py
+++ b/tests/net/test_list_age.py
@@ -2,14 +2,17 @@
 
 import heapq
 import json
+from itertools import pairwise
 from random import Random
 
 import pytest
 
 from pulleyroute.interface import ListKind
 from pulleyroute.net import discovery
-from pulleyroute.net.discovery import Words
+from pulleyroute.net.call_slots import CallSlots
+from pulleyroute.net.discovery import DiscoveryClient, Words
 from pulleyroute.net.http import Broken
+from pulleyroute.settings import read_settings
 from tests.net.scene import INFO, MS, SECOND, Scene
 from tests.net.test_discovery import CHUNKS, chunk
 from tests.net.test_pushed_list import Agent
@@ -17,10 +20,13 @@
 
 def test_all_that_stands_between_a_silence_and_the_next_news_is_within_the_protocols_time():
     t = discovery
-    assert t.SILENCE + t.FIRST_PAUSE + t.CONNECT_TIME + t.FIRST_ANSWER <= t.TOLD
-    assert t.LONGEST_PAUSE + t.CONNECT_TIME + t.ANSWER <= t.TOLD
+    for spent in (t.SILENCE + t.FIRST_PAUSE, t.LONGEST_PAUSE, *range(0, t.LONGEST_PAUSE, 50 * MS)):
+        answer = t.time_to_answer(spent)
+        assert spent + t.CONNECT_TIME + answer <= t.TOLD
+        assert t.LEAST_ANSWER <= answer <= t.ANSWER
+    assert t.time_to_answer(0) == t.ANSWER
     assert t.SILENCE >= 2 * SECOND + 500 * MS  # an empty line comes every 2 s
-    assert t.SILENCE >= t.LONGEST_PAUSE  # so that one that has fallen silent counts as one that stood
+    assert t.SILENCE >= t.STOOD  # so that one that has fallen silent counts as one that stood
 
 
 @pytest.mark.parametrize("dispatchers", [1, 200])
@@ -40,43 +46,58 @@
         agent.loop.until(lambda agent=agent: agent.ready() == [b"s-1"])
 
 
+class Clock:
+    """The time at which a caller decides, in a simulation."""
+
+    time = 0
+
+    def now(self) -> int:
+        return self.time
+
+
 class Turns:
     """A discovery for all, in simulated time: it works through calls in turn, and each is work.
 
-    What has waited too long gets 503 when its turn comes; what its caller has given up is work too.
+    What has waited too long gets 503 when its turn comes; what its caller has given up is work too. When to
+    call is what the real clients decide.
     """
 
-    def __init__(self, seed: int, each: int, patience: int, callers: int) -> None:
+    def __init__(self, seed: int, each: int, patience: int, callers: int, outage: int = 10 * SECOND) -> None:
         self.each, self.patience, self.free = each, patience, 0
-        table = Agent(info={**INFO, "balancers": callers}).scene.discovery
-        self.calls, self.paces, self.done = [], {}, {}
+        self.clients, self.calls, self.done = [], [], {}
+        unix = Random(seed).randrange(10**15)
         for i in range(callers):
-            table._random = Random(1000 * seed + i)
-            self.paces[i] = table._backoff(table._settings), table._crowd(table._settings)
-            at = -10 * SECOND
+            settings = read_settings({**INFO, "balancers": callers, "me": i})[0]
+            client = DiscoveryClient(Clock(), None, ("127.0.0.1", 1), settings, unix, 1000 * seed + i)
+            self.clients.append(client)
+            at = -outage
             while at < 0:  # it is down until 0, and says so at once
-                at += self.paces[i][0].failed()
+                at += self.pause(i, at, at)
             self.calls.append((at, i))
 
+    def pause(self, caller: int, called: int, now: int) -> int:
+        client = self.clients[caller]
+        client._loop.time = now
+        return client._pause_after(called, 0)
+
     def run(self, until: int) -> None:
         heapq.heapify(self.calls)
         while self.calls and self.calls[0][0] < until:
             at, i = heapq.heappop(self.calls)
             begun = max(at, self.free)
             self.free = begun + self.each
-            patience = min(self.patience, discovery.ANSWER)
+            patience = min(self.patience, self.clients[i]._answer_time)
             if begun - at <= patience:
                 self.done[i] = self.free
             else:
-                pace = self.paces[i][patience >= discovery.CROWDED]
-                heapq.heappush(self.calls, (at + patience + pace.failed(), i))
+                heapq.heappush(self.calls, (at + patience + self.pause(i, at, at + patience), i))
 
 
-def ends_of(patience):
+def ends_of(patience, outage=10 * SECOND):
     """When each caller of a discovery got through that came back at 0, for two fleets and ten seeds."""
     for callers, rate in ((200, 50), (40, 10)):
         for seed in range(10):
-            turns = Turns(seed, SECOND // rate, patience, callers)
+            turns = Turns(seed, SECOND // rate, patience, callers, outage)
             turns.run(60 * SECOND)
             assert len(turns.done) == callers, (callers, seed)
             yield max(turns.done.values())
@@ -94,6 +115,24 @@
     assert max(ends_of(patience * SECOND)) <= discovery.TOLD
 
 
+@pytest.mark.parametrize("outage", [1, 2, 3, 5, 20])
+def test_so_they_are_however_long_it_was_away(outage):
+    # Failure: pauses drawn at random bunch, the more so while they still grow: the last needed 18 s and more.
+    assert max(ends_of(SECOND, outage * SECOND)) <= discovery.TOLD
+
+
+def test_callers_that_share_a_clock_call_evenly_each_in_its_own_slot():
+    period, callers = 4 * SECOND, 100
+    slots = [CallSlots(period, number, callers) for number in range(callers)]
+    draw = Random(1).random
+    times = sorted(each.next(123_456_789, draw()) for each in slots)
+    assert times[0] > 123_456_789 and times[-1] <= 123_456_789 + period
+    assert all(late - early >= period // callers // 2 - 1 for early, late in pairwise(times))
+    assert CallSlots(period, 7, callers).next(times[3], 0.0) % period == 7 * period // callers
+    assert CallSlots(period, callers + 7, callers).next(0, 0.0) == CallSlots(period, 7, callers).next(0, 0.0)
+    assert CallSlots(period, 0, 0).next(0, 0.0) == period  # never at once: a call has just been in vain
+
+
 @pytest.mark.parametrize(
     ("dispatchers", "waited", "least"),
     [
