Discovery: take lists of 1,024 instances with long names

A list of 1,024 instances whose names are as long as names in DNS is 2 to 5 MiB as JSON, indented or not; LINE_LIMIT passed over what was longer than 1 MiB, from a watch and as a whole list, so that a fleet of that size would never have had a list.

The limit is 8 MiB, 8 KiB an entry. The cost of a long line is in proportion to its length now: what has come of a line is added to in place, and texts are passed over by a pattern without a choice at each character. Ruled out: no limit at all, since a discovery that never ends a line would take all memory.

--- a/pulleyroute/net/discovery.py
+++ b/pulleyroute/net/discovery.py
@@ -48,7 +48,7 @@
 # A pushed list's watch is tried again within this part of the drain grace at first, and of it later: what was
 # told in between is not to be missed.
 PUSHED_FIRST, PUSHED_LONGEST = 16, 2
-LINE_LIMIT = 1024 * 1024
+LINE_LIMIT = 8 * 1024 * 1024  # bytes of a list: 1,024 entries of 8 KiB; what is held grows with what comes
 
 _FAILURES = (Broken, Crowded, Late, Malformed, ValueError, RecursionError)
 _PHASES = {"active": WorkerState.READY, "leaving": WorkerState.DRAINING, "left": WorkerState.GONE}
@@ -65,20 +65,24 @@
     entry: dict[str, Any] | None = None  # as discovery told it
 
 
-_TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')
+_TEXT = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"')
 
 
 class Words:
     """Cuts what a watch brings into words: an empty line, or a JSON object, which may be indented. No I/O."""
 
     def __init__(self) -> None:
-        self._rest = b""  # of a line
+        self._rest = bytearray()  # of a line
         self._lines: list[bytes] = []  # of an object that has begun
         self._size = self._depth = 0
 
     def feed(self, data: bytes) -> Iterator[bytes]:
         """The words that are whole now; raises Broken where one is too long."""
-        *lines, self._rest = (self._rest + data).split(b"\n")
+        self._rest += data  # in place: a long line would else be copied with each part of it
+        lines: list[bytes] = []
+        if b"\n" in data:
+            *lines, rest = bytes(self._rest).split(b"\n")
+            self._rest = bytearray(rest)
         for line in lines:
             bare = _TEXT.sub(b"", line)
             self._depth += bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
