Split the discovery client: the list, the pauses and the lines each in a module

Need: discovery.py had grown to 520 lines with four jobs, and its names were of the earlier style.

net/instance_list.py reads and keeps the list, net/call_pacing.py decides when to call and how long a call may take, net/json_lines.py splits what a watch brings (JsonLineSplitter, was Words); the client is left with the calls. Names of the field: _read_watch, _read_line, _wait_before_reconnect, departures.

Tests keep their assertions; the simulated callers of test_list_age ask CallPacing itself.

--- a/pulleyroute/net/discovery.py
+++ b/pulleyroute/net/discovery.py
@@ -10,98 +10,29 @@
 from __future__ import annotations
 
 import json
-import math
-import re
-from collections.abc import Callable, Iterator
-from dataclasses import dataclass, replace
+from collections.abc import Callable
 from random import Random
 from typing import Any
 
 import h11
 from loguru import logger
 
-from pulleyroute.interface import Entry, ListKind, Settings, WorkerId, WorkerList, WorkerState
+from pulleyroute.interface import ListKind, Settings, WorkerId, WorkerList
 from pulleyroute.net import log
-from pulleyroute.net.backoff import Backoff
 from pulleyroute.net.buffers import BufferPool
-from pulleyroute.net.call_slots import CallSlots
-from pulleyroute.net.http import Broken, Crowded, Late, Malformed, Stream, connect, parse_address
+from pulleyroute.net.call_pacing import CONNECT_TIME, SILENCE, CallPacing
+from pulleyroute.net.http import Broken, Crowded, Late, Malformed, Stream, connect
+from pulleyroute.net.instance_list import InstanceList, Member
+from pulleyroute.net.json_lines import LINE_LIMIT, JsonLineSplitter
 from pulleyroute.net.list_freshness import ListFreshness
 from pulleyroute.net.loop import Coroutine, Loop, Task, Wait
 
 PATH = b"/api/targets"
-# What discovery has to tell counts as told so long after it could tell it, whether it came or not. Each bound
-# on the way is a part of this: a watch falls silent, the pause before the next call, its connect, its answer.
-TOLD = 6_000_000
-SILENCE = 2_500_000  # a watch says something every 2 s; this long without a whole word and it is broken
-FIRST_PAUSE = 500_000  # before the first call after a watch has ended, at most
-CONNECT_TIME = 600_000
-# To the head of a watch, or the whole list: discovery works through its calls in turn, and one that is given
-# up before it is answered or turned away is work for nobody, and keeps others waiting. A call has what is
-# left of `TOLD` after the silence and the pause before it, from LEAST_ANSWER to ANSWER.
-LEAST_ANSWER, ANSWER = 1_200_000, 3_400_000
-# Between two calls while discovery is away: as long as `TOLD` allows, so that the calls of a large fleet come
-# no faster at its return than they must.
-LONGEST_PAUSE = 4_200_000
-STOOD = 2_000_000  # a watch that lasted so long stood, however long the pauses: it is opened anew soon
-CROWDED = 700_000  # a call that fails after so long has waited for its turn: discovery has too many callers
-# Of the pauses, for each dispatcher that calls the same discovery. The longest: the slots of a fleet whose
-# discovery answers ten calls a second.
-FIRST_SHARE, LONGEST_SHARE = 25_000, 110_000
-# The first calls of processes are spread over so long, by the fleet's size.
-START_SPREAD, START_SHARE = 2_000_000, 50_000
-LEAST_LONGEST = 250_000  # for a discovery that is away, however small the fleet
 MOVE_TIME = 4_000_000  # after a move, calls that fail are tried again for so long before the module is told
 MOVE_PAUSE = 500_000  # the longest pause between two of them
 BACK_TIME = 6_000_000  # lists older than the one held are passed over for so long, then held to be the truth
-# A pushed list's watch is tried again within this part of the drain grace at first, and of it later: what was
-# told in between is not to be missed.
-PUSHED_FIRST, PUSHED_LONGEST = 16, 2
-LINE_LIMIT = 8 * 1024 * 1024  # bytes of a list: 1,024 entries of 8 KiB; what is held grows with what comes
 
 _FAILURES = (Broken, Crowded, Late, Malformed, ValueError, RecursionError)
-_PHASES = {"active": WorkerState.READY, "leaving": WorkerState.DRAINING, "left": WorkerState.GONE}
-
-
-@dataclass(slots=True)
-class Member:
-    """One instance in the discovery client."""
-
-    address: tuple[str, int]
-    active: bool
-    listed: bool = True  # not one that left
-    started: int = 0  # the loop's clock at its last start
-    entry: dict[str, Any] | None = None  # as discovery told it
-
-
-_TEXT = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"')
-
-
-class Words:
-    """Cuts what a watch brings into words: an empty line, or a JSON object, which may be indented. No I/O."""
-
-    def __init__(self) -> None:
-        self._rest = bytearray()  # of a line
-        self._lines: list[bytes] = []  # of an object that has begun
-        self._size = self._depth = 0
-
-    def feed(self, data: bytes) -> Iterator[bytes]:
-        """The words that are whole now; raises Broken where one is too long."""
-        self._rest += data  # in place: a long line would else be copied with each part of it
-        lines: list[bytes] = []
-        if b"\n" in data:
-            *lines, rest = bytes(self._rest).split(b"\n")
-            self._rest = bytearray(rest)
-        for line in lines:
-            bare = _TEXT.sub(b"", line)
-            self._depth += bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
-            self._lines.append(line)
-            self._size += len(line) + 1  # an empty one takes room too
-            if self._depth <= 0 or self._size > LINE_LIMIT:
-                word, self._lines, self._depth, self._size = b"\n".join(self._lines).strip(), [], 0, 0
-                yield word
-        if len(self._rest) + self._size > LINE_LIMIT:
-            raise Broken("a word is too long")
 
 
 class DiscoveryClient:
@@ -120,76 +51,55 @@
         self._pool = pool
         self._discovery = discovery
         self._random = Random(seed)
-        self._settings = settings
-        self._pause = self._backoff(settings)
-        self._crowded = self._crowd(settings)
-        self._slots = self._slotted(settings)
-        self._answer_time = ANSWER
+        self._pacing = CallPacing(settings, epoch, self._random)
         self._open_since: int | None = None  # of a watch: when its head came
         self._deaf = False  # the watch has failed, and nothing has been heard since
         self._back_since: int | None = None  # since when discovery has told of older versions only
-        self._zones = {name: i for i, name in enumerate(settings.zones)}
-        self._kinds = {name: i for i, name in enumerate(settings.kinds)}
-        self._epoch = epoch  # Unix time, in microseconds, when the loop's clock was at 0
-        self._members: dict[WorkerId, Member] = {}  # with those that left: an instance stays known
-        self._version = 0
         self._moved = False  # since the whole list was last told: the version is of another address
         self._patient_until = 0  # a failure before this is not told but tried again
         self._watch: Task | None = None
+        self.list = InstanceList(settings, epoch)
         self.freshness = ListFreshness()
         self.tell: Callable[[WorkerList], None] = lambda news: None
 
     def member(self, instance: WorkerId) -> Member | None:
-        return self._members.get(instance)
+        """What the list says of an instance; None for one that it never named."""
+        return self.list.get(instance)
 
     def active(self, instance: WorkerId) -> bool:
-        """Whether new work may go there."""
-        member = self._members.get(instance)
+        """Whether new work may go there, as the list says."""
+        member = self.list.get(instance)
         return member is not None and member.active
 
     def incarnation(self, instance: WorkerId) -> int:
         """When the listed process of it started, as the loop's clock; 0 for long ago."""
-        member = self._members.get(instance)
-        return 0 if member is None else member.started
+        return self.list.incarnation(instance)
 
     def adopt(self, settings: Settings) -> Settings:
-        """Other settings, with their zones and kinds in this table's numbers: a name keeps its number.
-
-        Guards the decisions: what they know of an instance says where it stands and what it is by number.
-        """
-        zone, kinds = settings.zone, settings.kinds
-        if zone < len(settings.zones):
-            zone = _number(self._zones, settings.zones[zone])
-        classes = [
-            replace(cls, kind=_number(self._kinds, kinds[cls.kind])) if 0 <= cls.kind < len(kinds) else cls
-            for cls in settings.classes
-        ]
-        self._settings = settings
-        self._pause = self._backoff(settings)
-        self._crowded = self._crowd(settings)
-        self._slots = self._slotted(settings)
-        return replace(settings, zone=zone, classes=classes)
+        """Other settings, with their zones and kinds in the list's numbers."""
+        self._pacing.adopt(settings)
+        return self.list.renumber(settings)
 
     @property
     def version(self) -> int:
         """Of the list, as discovery counts."""
-        return self._version
+        return self.list.version
 
     def entries(self) -> list[dict[str, Any]]:
         """The list in discovery's form."""
-        return [member.entry for member in self._members.values() if member.listed and member.entry]
+        return self.list.entries()
 
     @property
     def size(self) -> int:
         """How many instances the list names."""
-        return sum(1 for member in self._members.values() if member.listed)
+        return self.list.size
 
     def load_known(self, known: Any, confirmed: bool = False) -> None:
         """Take a list that came otherwise than from discovery; raises ValueError if it is malformed.
 
         `confirmed`: the process before this one may use it, and so may this one.
         """
-        news = self._take(known, cached=True)
+        news = self.list.take(known, cached=True)
         self.freshness.replace()
         self.tell(news)
         if confirmed:
@@ -199,29 +109,6 @@
 
     # Calls to discovery
 
-    def _backoff(self, settings: Settings) -> Backoff:
-        if settings.list_on_request:
-            # Guards one discovery against all at once: the larger the fleet, the wider its calls are spread.
-            first = min(FIRST_PAUSE, settings.dispatchers * FIRST_SHARE)
-            longest = max(LEAST_LONGEST, min(LONGEST_PAUSE, settings.dispatchers * LONGEST_SHARE))
-        else:
-            grace = max(1, settings.drain_grace)
-            first, longest = grace // PUSHED_FIRST, grace // PUSHED_LONGEST
-        return Backoff(max(1, first), max(1, longest), self._random)
-
-    def _slotted(self, settings: Settings) -> CallSlots:
-        """The calls to a discovery that is away, from the second one in vain on."""
-        return CallSlots(self._pause.cap, settings.me, settings.dispatchers)
-
-    def _crowd(self, settings: Settings) -> Backoff:
-        """The pauses while discovery has too many callers.
-
-        Guards it against staying so: what waited too long is work as well, so that calls have to become fewer
-        than it can work through. The settings say how long not asking is excused.
-        """
-        cap = max(self._pause.cap, settings.ask_every)
-        return Backoff(2 * max(LEAST_LONGEST, _start_spread(settings)), cap, self._random)
-
     def watch(self, on: bool) -> None:
         """Keep a watch open from now on, or cease. One that is open, or is being opened, goes on as it is."""
         if not on or self._watch is None:
@@ -242,9 +129,7 @@
         Until discovery has spoken, the list that this process was handed is not used: see `ListFreshness`.
         """
         self.freshness.begin(self._loop.now(), self._random.random())
-        # An agent serves one process alone.
-        spread = _start_spread(self._settings) if self._settings.list_on_request else 0
-        self._open(start=int(self._random.random() * spread))
+        self._open(start=self._pacing.first_pause())
 
     def move(self, discovery: tuple[str, int]) -> None:
         """Discovery is at another address now: take the whole list there, then watch it."""
@@ -253,7 +138,7 @@
         self._discovery = discovery
         self._moved = True
         self._patient_until = self._loop.now() + MOVE_TIME
-        self._pause.succeeded()
+        self._pacing.moved()
         self._open()
 
     def fetch(self) -> None:
@@ -262,7 +147,7 @@
 
     def _failed(self, what: str, why: object) -> None:
         logger.bind(event="discovery.failed", call=what).warning("discovery: {} failed: {}", what, why)
-        self.tell(WorkerList(self._version, ListKind.FAILED, []))
+        self.tell(WorkerList(self.version, ListKind.FAILED, []))
 
     def _call(self, target: bytes) -> Coroutine[Stream]:
         until = self._loop.now() + CONNECT_TIME
@@ -283,13 +168,13 @@
         asked = self._discovery
         stream = yield from self._call(PATH)
         try:
-            answer = yield from stream.response(self._loop.now() + self._answer_time, LINE_LIMIT)
+            answer = yield from stream.response(self._loop.now() + self._pacing.answer_time, LINE_LIMIT)
             if answer.status != 200:
                 raise Broken(f"status {answer.status}")
             if asked != self._discovery:
-                # Guards against an old address's word: its list and version mean nothing at the new one.
+                # An old address's list and version mean nothing at the new one.
                 raise Broken("discovery has moved")
-            return self._take(json.loads(answer.body), cached=False)
+            return self.list.take(json.loads(answer.body), cached=False)
         finally:
             stream.close()
 
@@ -308,12 +193,12 @@
             called, self._open_since = self._loop.now(), None
             try:
                 if self._moved:
-                    # Guards against versions that mean nothing here: changes since one might leave out most.
+                    # Versions of the old address mean nothing here: changes since one might leave out most.
                     news = yield from self._whole()
                     self._moved = False
                     self._back_since = None
                     self._confirmed(news)
-                yield from self._following()
+                yield from self._read_watch()
             except _FAILURES as exc:
                 why = str(exc) or "no line in time"
                 if self.freshness.call_failed(self._loop.now()):
@@ -321,87 +206,64 @@
                         "discovery: not reached since the start, the configuration's list is used: {}", why
                     )
                 if self._loop.now() < self._patient_until:
-                    # Guards the time limit after a move, which the module's longer pauses would pass.
+                    # The longer pauses would pass the time limit after a move.
                     logger.info("discovery: {}:{} failed: {}", *self._discovery, why)
                     yield Wait(until=self._loop.now() + int(self._random.random() * MOVE_PAUSE))
                     continue
-                yield from self._resting(called, isinstance(exc, Late), why)
+                yield from self._wait_before_reconnect(called, isinstance(exc, Late), why)
 
-    def _resting(self, called: int, late: bool, why: str) -> Coroutine[None]:
-        """The watch has ended: the pause before it is opened anew."""
+    def _wait_before_reconnect(self, called: int, late: bool, why: str) -> Coroutine[None]:
+        """The call that began then has failed, or its watch has ended: the pause before the next one."""
         since, now = self._open_since, self._loop.now()
-        silence = SILENCE if late and since is not None else 0
-        self._answer_time = time_to_answer(silence)
         if not self._deaf:
-            # Guards the log: a discovery that is down is told of once, and once more when it speaks again.
+            # A discovery that is down is told of once, and once more when it speaks again.
             self._deaf = True
             self._failed("watch", why)
-        if since is not None and now - since >= min(STOOD, self._pause.cap):
-            # Guards the drain rule: a watch that stood is opened anew at once, as there may be more to tell.
-            # One that breaks as soon as it is open is not, as it would be so again; nor is a call that waited
-            # for long and was turned away, or a discovery with too many callers would have ever more.
-            self._pause.succeeded()
-            if not self._settings.list_on_request:
-                return
-        pause = self._pause_after(called, silence)
-        yield Wait(until=self.freshness.next_call(now + pause))
-
-    def _pause_after(self, called: int, silence: int) -> int:
-        """How long to wait after a call that began then and was in vain, or whose watch fell silent.
-
-        `silence`: for how long it was. Decides too how long the next call may take.
-        """
-        now, asked = self._loop.now(), self._settings.list_on_request
-        if asked and self._open_since is None and now - called >= CROWDED:
-            self._answer_time = ANSWER
-            return self._crowded.failed()
-        if asked and self._pause.failures:
-            unix = self._epoch + now
-            pause = self._slots.next(unix, self._random.random()) - unix
+        if since is not None:
+            pause = self._pacing.after_watch(now, now - since, late)
         else:
-            pause = self._pause.failed()
-        self._answer_time = time_to_answer(silence + pause)
-        return pause
+            pause = self._pacing.after_failure(now, now - called)
+        yield Wait(until=self.freshness.next_call(now + pause))
 
-    def _following(self) -> Coroutine[None]:
+    def _read_watch(self) -> Coroutine[None]:
         """Tell of changes until the watch breaks."""
-        stream = yield from self._call(b"%s?watch=1&from=%d" % (PATH, self._version))
+        stream = yield from self._call(b"%s?watch=1&from=%d" % (PATH, self.version))
         try:
-            answer = yield from stream.answer_head(self._loop.now() + self._answer_time)
+            answer = yield from stream.answer_head(self._loop.now() + self._pacing.answer_time)
             if answer.status != 200:
                 raise Broken(f"status {answer.status}")
             logger.bind(event="discovery.watching").info(
-                "discovery: watching {}:{} from version {}", *self._discovery, self._version
+                "discovery: watching {}:{} from version {}", *self._discovery, self.version
             )
-            words, heard = Words(), self._loop.now()
+            splitter, heard = JsonLineSplitter(), self._loop.now()
             self._open_since = heard
-            self._crowded.succeeded()
+            self._pacing.opened()
             while True:
-                # Guards against a discovery that went silent, and one whose word never ends: each has to be
-                # whole so long after the one before.
+                # Each line has to be whole so long after the one before: a discovery that went silent, or one
+                # that trickles, would else hold the watch for ever.
                 event = yield from stream.event(heard + SILENCE)
                 if not isinstance(event, h11.Data):
                     raise Broken("the watch ended")
-                for word in words.feed(bytes(event.data)):
+                for line in splitter.feed(bytes(event.data)):
                     heard = self._loop.now()
-                    self._word(word)
+                    self._read_line(line)
         finally:
             stream.close()
 
-    def _word(self, word: bytes) -> None:
-        """One word of a watch, empty where nothing has changed; raises ValueError if it is malformed."""
-        data = json.loads(word) if word else None
+    def _read_line(self, line: bytes) -> None:
+        """One line of a watch, empty where nothing has changed; raises ValueError if it is malformed."""
+        data = json.loads(line) if line else None
         if data is None:
             self._unchanged()
         elif self._older(data):
-            self._news(self._take(self._still_true(data), cached=False))
+            self._news(self.list.take(self.list.departures(data), cached=False))
         else:
-            self._confirmed(self._take(data, cached=False))
+            self._confirmed(self.list.take(data, cached=False))
 
     def _unchanged(self) -> None:
-        """Nothing has changed since the last word; the decisions hear so if they were told of a failure."""
+        """Nothing has changed since the last line; the decisions hear so if they were told of a failure."""
         if self._deaf:
-            self._news(WorkerList(self._version, ListKind.DELTA, []))
+            self._news(WorkerList(self.version, ListKind.DELTA, []))
         self.freshness.confirm()
 
     def _confirmed(self, news: WorkerList) -> None:
@@ -416,105 +278,19 @@
     def _older(self, data: Any) -> bool:
         """Whether a list is older than the one held, and so passed over.
 
-        Guards the drain rule: a discovery or agent that comes back with what it once saved would put back to
-        work what has been told of as leaving. One that goes on so has lost its versions: then all of its list
-        is taken as it stands.
+        A discovery or agent that comes back with what it once saved would put back to work what has been told
+        of as leaving. One that goes on so has lost its versions: then all of its list is taken as it stands.
         """
         version = data.get("revision") if isinstance(data, dict) else None
-        if not isinstance(version, int) or version >= self._version:
+        if not isinstance(version, int) or version >= self.version:
             self._back_since = None
             return False
         if self._back_since is None:
             self._back_since = self._loop.now()
             logger.bind(event="discovery.older", version=version).warning(
-                "discovery: version {} after {} is passed over", version, self._version
+                "discovery: version {} after {} is passed over", version, self.version
             )
         elif self._loop.now() - self._back_since >= BACK_TIME:
             self._moved = True
             raise Broken("versions have begun anew")
         return True
-
-    def _still_true(self, data: Any) -> Any:
-        """What an older list tells that holds whatever came after it: who leaves, of the listed processes.
-
-        Guards the drain rule: what is written counts as told, and versions that began anew look older.
-        """
-
-        def holds(item: Any) -> bool:
-            entry, _ = self._entry(item)
-            return entry.state is not WorkerState.READY and entry.started == self.incarnation(entry.worker)
-
-        members = data.get("members")
-        if isinstance(members, list):
-            members = [item for item in members if holds(item)]
-        return {"revision": self._version, "complete": False, "members": members}
-
-    # The list
-
-    def _take(self, data: Any, cached: bool) -> WorkerList:
-        """Check one object whole, then make it part of the list."""
-        if not isinstance(data, dict) or not isinstance(data.get("members"), list):
-            raise ValueError("not an object with members")
-        version, complete = data.get("revision"), data.get("complete")
-        if isinstance(version, bool) or not isinstance(version, int) or not isinstance(complete, bool):
-            raise ValueError("revision or complete is missing")
-        read = [self._entry(item) for item in data["members"]]
-        kind = ListKind.CACHED if cached else ListKind.FULL if complete else ListKind.DELTA
-        if kind is not ListKind.DELTA:
-            for member in self._members.values():
-                member.active = member.listed = False
-        for (entry, address), item in zip(read, data["members"], strict=True):
-            self._members[entry.worker] = Member(
-                address,
-                entry.state is WorkerState.READY,
-                entry.state is not WorkerState.GONE,
-                entry.started,
-                item,
-            )
-        self._version = version
-        changes = ", ".join(f"{e.worker.decode()} {e.state.name.lower()}" for e, _ in read[:8])
-        logger.bind(event="discovery.changed", version=version).info(
-            "discovery: version {} {}, {} entries: {}", version, kind.name.lower(), len(read), changes
-        )
-        return WorkerList(version, kind, [entry for entry, _ in read])
-
-    def _entry(self, item: Any) -> tuple[Entry, tuple[str, int]]:
-        if not isinstance(item, dict):
-            raise ValueError("a member is not an object")
-        name, phase = item.get("id"), item.get("phase")
-        # Guards the watch: a phase that is a list or an object can't be looked up, and would end it for good.
-        if not isinstance(name, str) or not name or not isinstance(phase, str) or phase not in _PHASES:
-            raise ValueError(f"member {name!r} with phase {phase!r}")
-        size, started, cell = item.get("size", 1.0), item.get("up_since_ms", 0), item.get("cell", 0)
-        for value in (size, started, cell):
-            if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
-                raise ValueError(f"member {name!r} with {value!r} for a number")
-        entry = Entry(
-            name.encode(),
-            _PHASES[phase],
-            started=self._started(started),
-            size=float(size),
-            cell=int(cell),
-            kind=_number(self._kinds, item.get("flavor")),
-            zone=_number(self._zones, item.get("locality")),
-        )
-        return entry, parse_address(str(item.get("host_port")))
-
-    def _started(self, unix_ms: float) -> int:
-        """The loop's clock at that Unix time. 0 means long ago and stays 0, and nothing else becomes 0."""
-        return (int(unix_ms * 1000) - self._epoch or 1) if unix_ms else 0
-
-
-def _start_spread(settings: Settings) -> int:
-    """Over how long the first calls of all dispatchers of one discovery are spread."""
-    return min(START_SPREAD, settings.dispatchers * START_SHARE)
-
-
-def time_to_answer(spent: int) -> int:
-    """How long a call may take for its answer, where so much of `TOLD` has gone before it."""
-    return max(LEAST_ANSWER, min(ANSWER, TOLD - spent - CONNECT_TIME))
-
-
-def _number(names: dict[str, int], name: object) -> int:
-    """The place of a name in the settings; names that they do not have get places after them."""
-    return names.setdefault(str(name), len(names))
--- /dev/null
+++ b/pulleyroute/net/json_lines.py
@@ -0,0 +1,50 @@
+"""Splits a stream of JSON objects, one a line or indented over several, into whole ones. No I/O."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator
+
+from pulleyroute.net.http import Broken
+
+LINE_LIMIT = 4 * 1024 * 1024  # bytes of an object: 1,024 entries of 4 KiB; what is held grows with what comes
+
+_STRING = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"')
+
+
+class JsonLineSplitter:
+    """Cuts what a watch brings into whole lines: empty ones, or JSON objects, which may be indented."""
+
+    def __init__(self) -> None:
+        self._rest = bytearray()  # of a line that has not ended
+        self._lines: list[bytes] = []  # of an object that has begun
+        self._size = self._depth = 0
+
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        """The objects and empty lines that are whole now; raises Broken where one is too long."""
+        self._rest += data  # in place: a long line would else be copied with each part of it
+        lines: list[bytes] = []
+        if b"\n" in data:
+            *lines, rest = bytes(self._rest).split(b"\n")
+            self._rest = bytearray(rest)
+        for line in lines:
+            self._depth += _nesting(line)
+            if line:  # an empty one says nothing, and the place for it takes more room than itself
+                self._lines.append(line)
+            self._size += len(line) + 1
+            if self._depth <= 0 or self._size > LINE_LIMIT:
+                yield self._take()
+        if len(self._rest) + self._size > LINE_LIMIT:
+            raise Broken("an object is too long")
+
+    def _take(self) -> bytes:
+        whole = b"\n".join(self._lines).strip()
+        self._lines = []
+        self._size = self._depth = 0
+        return whole
+
+
+def _nesting(line: bytes) -> int:
+    """By how many brackets a line opens more than it closes, strings aside."""
+    bare = _STRING.sub(b"", line)
+    return bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
--- a/tests/net/test_discovery.py
+++ b/tests/net/test_discovery.py
@@ -155,11 +155,11 @@
 
 def test_start_times_are_converted_to_the_clock_of_the_module():
     scene = Scene()
-    scene.discovery._epoch = 5_000 * SECOND
+    scene.discovery.list._epoch = 5_000 * SECOND
     table = scene.table("s-0")
     for unix_ms, expected in ((0, 0), (5_000_000, 1), (5_000_250, 250_000), (4_999_999, -1000)):
         table["members"][0]["up_since_ms"] = unix_ms
-        assert scene.discovery._take(table, cached=False).entries[0].started == expected
+        assert scene.discovery.list.take(table, cached=False).entries[0].started == expected
 
 
 @settings(derandomize=True, max_examples=200, deadline=None)
@@ -178,7 +178,7 @@
     names = SCENE.discovery
     for item in (data, {"revision": 1, "complete": True, "members": [data]}):
         try:
-            names._take(item, cached=False)
+            names.list.take(item, cached=False)
         except ValueError:
             continue
 
--- a/tests/net/test_list_age.py
+++ b/tests/net/test_list_age.py
@@ -8,10 +8,11 @@
 import pytest
 
 from pulleyroute.interface import ListKind
-from pulleyroute.net import discovery
+from pulleyroute.net import call_pacing
+from pulleyroute.net.call_pacing import CallPacing
 from pulleyroute.net.call_slots import CallSlots
-from pulleyroute.net.discovery import DiscoveryClient, Words
 from pulleyroute.net.http import Broken
+from pulleyroute.net.json_lines import JsonLineSplitter
 from pulleyroute.settings import read_settings
 from tests.net.scene import INFO, MS, SECOND, Scene
 from tests.net.test_discovery import CHUNKS, chunk
@@ -19,7 +20,7 @@
 
 
 def test_all_that_stands_between_a_silence_and_the_next_news_is_within_the_protocols_time():
-    t = discovery
+    t = call_pacing
     for spent in (t.SILENCE + t.FIRST_PAUSE, t.LONGEST_PAUSE, *range(0, t.LONGEST_PAUSE, 50 * MS)):
         answer = t.time_to_answer(spent)
         assert spent + t.CONNECT_TIME + answer <= t.TOLD
@@ -41,20 +42,11 @@
         silent = agent.loop.time  # from here on nothing comes, and then s-0 drains
         while agent.door.untouched_now():
             agent.loop.skip(20 * MS)
-        assert agent.loop.time - silent <= discovery.SILENCE + discovery.FIRST_PAUSE + 20 * MS
+        assert agent.loop.time - silent <= call_pacing.SILENCE + call_pacing.FIRST_PAUSE + 20 * MS
         agent.opened(1).send(agent.line("s-0", phase="leaving", complete=False, revision=2))
         agent.loop.until(lambda agent=agent: agent.ready() == [b"s-1"])
 
 
-class Clock:
-    """The time at which a caller decides, in a simulation."""
-
-    time = 0
-
-    def now(self) -> int:
-        return self.time
-
-
 class Turns:
     """A discovery for all, in simulated time: it works through calls in turn, and each is work.
 
@@ -64,33 +56,28 @@
 
     def __init__(self, seed: int, each: int, patience: int, callers: int, outage: int = 10 * SECOND) -> None:
         self.each, self.patience, self.free = each, patience, 0
-        self.clients, self.calls, self.done = [], [], {}
+        self.pacings, self.calls, self.done = [], [], {}
         unix = Random(seed).randrange(10**15)
         for i in range(callers):
             settings = read_settings({**INFO, "balancers": callers, "me": i})[0]
-            client = DiscoveryClient(Clock(), None, ("127.0.0.1", 1), settings, unix, 1000 * seed + i)
-            self.clients.append(client)
+            self.pacings.append(CallPacing(settings, unix, Random(1000 * seed + i)))
             at = -outage
             while at < 0:  # it is down until 0, and says so at once
-                at += self.pause(i, at, at)
+                at += self.pacings[i].after_failure(at, 0)
             self.calls.append((at, i))
 
-    def pause(self, caller: int, called: int, now: int) -> int:
-        client = self.clients[caller]
-        client._loop.time = now
-        return client._pause_after(called, 0)
-
     def run(self, until: int) -> None:
         heapq.heapify(self.calls)
         while self.calls and self.calls[0][0] < until:
             at, i = heapq.heappop(self.calls)
             begun = max(at, self.free)
             self.free = begun + self.each
-            patience = min(self.patience, self.clients[i]._answer_time)
+            patience = min(self.patience, self.pacings[i].answer_time)
             if begun - at <= patience:
                 self.done[i] = self.free
             else:
-                heapq.heappush(self.calls, (at + patience + self.pause(i, at, at + patience), i))
+                given_up = at + patience
+                heapq.heappush(self.calls, (given_up + self.pacings[i].after_failure(given_up, patience), i))
 
 
 def ends_of(patience, outage=10 * SECOND):
@@ -112,13 +99,13 @@
 
 @pytest.mark.parametrize("patience", [1, 2, 3])
 def test_the_callers_of_a_slow_discovery_are_each_through_within_six_seconds_of_its_return(patience):
-    assert max(ends_of(patience * SECOND)) <= discovery.TOLD
+    assert max(ends_of(patience * SECOND)) <= call_pacing.TOLD
 
 
 @pytest.mark.parametrize("outage", [1, 2, 3, 5, 20])
 def test_so_they_are_however_long_it_was_away(outage):
     # Failure: pauses drawn at random bunch, the more so while they still grow: the last needed 18 s and more.
-    assert max(ends_of(SECOND, outage * SECOND)) <= discovery.TOLD
+    assert max(ends_of(SECOND, outage * SECOND)) <= call_pacing.TOLD
 
 
 def test_callers_that_share_a_clock_call_evenly_each_in_its_own_slot():
@@ -180,11 +167,11 @@
 
 def test_an_object_that_never_closes_holds_a_bounded_few_lines():
     # Guards the memory against a discovery that floods: until a word has to be whole, much can come.
-    words = Words()
-    assert not list(words.feed(b"{\n"))
+    splitter = JsonLineSplitter()
+    assert not list(splitter.feed(b"{\n"))
     with pytest.raises((Broken, ValueError)):
         for _ in range(4 * 1024):
-            for word in words.feed(b"\n" * 1024):
+            for word in splitter.feed(b"\n" * 1024):
                 json.loads(word)
 
 
@@ -197,7 +184,9 @@
     for at in range(0, len(data), 7):
         peer.send(chunk(data[at : at + 7]))
     agent.loop.until(lambda: agent.ready() == [b"s-1"])
-    assert [json.loads(word) for word in Words().feed(tricky.encode() + b"\n")] == [json.loads(tricky)]
+    assert [json.loads(word) for word in JsonLineSplitter().feed(tricky.encode() + b"\n")] == [
+        json.loads(tricky)
+    ]
 
 
 def test_a_request_for_a_watch_does_not_cut_off_one_that_is_being_opened():
