Rename net/duty.py to lifecycle.py, with its class, attributes and test file

Need: a reader looks for the state machine of a service under its ordinary name.

Behaviour is unchanged: names, imports and paths in documents only. The phases keep their names, since the operators' calls and the hand-over between processes show them.

--- a/benchmarks/fleet_rest.py
+++ b/benchmarks/fleet_rest.py
@@ -19,7 +19,7 @@
 from pulleyroute.fleet.agent import Agent, Place
 from pulleyroute.fleet.runners import Runner
 from pulleyroute.net.buffers import BufferPool
-from pulleyroute.net.duty import Phase
+from pulleyroute.net.lifecycle import Phase
 
 MINUTE = 60_000_000
 
--- a/pulleyroute/__main__.py
+++ b/pulleyroute/__main__.py
@@ -21,11 +21,11 @@
 from pulleyroute.net.buffers import BufferPool, Ledger
 from pulleyroute.net.config import Config, ConfigError, load_config
 from pulleyroute.net.discovery import DiscoveryClient
-from pulleyroute.net.duty import Phase
 from pulleyroute.net.figures import Figures, Gauges
 from pulleyroute.net.handover import Handover, inherited, place
 from pulleyroute.net.host import Host
 from pulleyroute.net.instance import Instances
+from pulleyroute.net.lifecycle import Phase
 from pulleyroute.net.loop import Loop
 from pulleyroute.net.management import DESCRIPTORS, Management, verbs
 from pulleyroute.net.process import catch_signals, descriptors, heeding, on_error
@@ -67,7 +67,7 @@
     @property
     def phase(self) -> Phase:
         """What it is doing for its clients."""
-        return self.clients.duty.phase
+        return self.clients.lifecycle.phase
 
     def classes(self) -> list[str]:
         """The names of the classes in force."""
@@ -149,7 +149,7 @@
     if listener is None:
         # Open from the start, for `/-/ready` and call-backs; clients are wanted once the list may be used.
         listening(config.listen, clients.listener.listen)
-        discovery.freshness.when_usable(clients.duty.serve)
+        discovery.freshness.when_usable(clients.lifecycle.serve)
     if config.management is not None:
         listening(config.management, Management(loop, pool, verbs(parts)).listen)
     if listener is not None:
--- a/pulleyroute/fleet/agent.py
+++ b/pulleyroute/fleet/agent.py
@@ -34,7 +34,7 @@
 )
 from pulleyroute.net.backoff import Backoff
 from pulleyroute.net.buffers import BufferPool
-from pulleyroute.net.duty import NEVER, Phase
+from pulleyroute.net.lifecycle import NEVER, Phase
 from pulleyroute.net.loop import Coroutine, Loop, Task, Wait
 
 SILENCE = 10_000_000  # us after which a watch that tells nothing counts as broken
--- a/pulleyroute/fleet/drains.py
+++ b/pulleyroute/fleet/drains.py
@@ -86,7 +86,7 @@
     """What a process does next.
 
     `token`: unlike any other process's; `incarnation`: that it claimed its seat with, None before; `phase`:
-    of `net/duty.py`; `planned`: whether it is on standby by a wish.
+    of `net/lifecycle.py`; `planned`: whether it is on standby by a wish.
     """
     seat = known.seats.get(me)
     if seat is None:
--- a/pulleyroute/fleet/members.py
+++ b/pulleyroute/fleet/members.py
@@ -40,7 +40,7 @@
 
     name: str
     incarnation: int
-    phase: str  # of `net/duty.py`
+    phase: str  # of `net/lifecycle.py`
     version: str = ""
 
 
--- a/pulleyroute/net/handover.py
+++ b/pulleyroute/net/handover.py
@@ -29,8 +29,8 @@
 from loguru import logger
 
 from pulleyroute.net.discovery import DiscoveryClient
-from pulleyroute.net.duty import Phase
 from pulleyroute.net.host import Call, Host
+from pulleyroute.net.lifecycle import Phase
 from pulleyroute.net.loop import READABLE, WRITABLE, Coroutine, Loop, Task, Wait
 from pulleyroute.net.service_client import ServiceClient, read_call
 
@@ -215,10 +215,10 @@
 
     def _serve(self, listener: socket.socket, phase: Phase) -> None:
         """Take the clients, in the phase that the old process was in."""
-        if self._clients.duty.phase is Phase.ENDING:
+        if self._clients.lifecycle.phase is Phase.ENDING:
             return  # SIGTERM came first: the old process, if there is one, goes on
         self._clients.listener.listen_on(listener)
-        self._clients.duty.serve()
+        self._clients.lifecycle.serve()
         if phase is Phase.STANDBY:
             self._clients.standby()
         self.open_door()
@@ -352,7 +352,7 @@
         """Tell the state, in parts that a socket takes."""
         known = self._host.knowledge()
         members = self._discovery.entries()
-        parts: list[Values] = [{"phase": self._clients.duty.phase.value}]
+        parts: list[Values] = [{"phase": self._clients.lifecycle.phase.value}]
         # The list first: what is known of an instance goes to one that is listed.
         parts.append(
             {
@@ -387,7 +387,7 @@
         """The new process is gone: unless this one was told to end, it goes on as before."""
         self._after = None
         self._clients.resume()
-        if self._clients.duty.takes_clients:
+        if self._clients.lifecycle.takes_clients:
             self.open_door()
 
     # Call-backs
--- a/pulleyroute/net/duty.py
+++ b/pulleyroute/net/lifecycle.py
@@ -39,7 +39,7 @@
 TAKES_CLIENTS = (Phase.SERVING, Phase.STANDBY)  # whoever comes is answered, wanted or not
 
 
-class Duty:
+class Lifecycle:
     """Owns the phase and the times from which connections are let go; NEVER where they are not."""
 
     def __init__(self) -> None:
--- a/pulleyroute/net/management.py
+++ b/pulleyroute/net/management.py
@@ -9,9 +9,9 @@
 from loguru import logger
 
 from pulleyroute.net.buffers import BufferPool
-from pulleyroute.net.duty import TAKES_CLIENTS, Phase
 from pulleyroute.net.figures import Figures, Gauges
 from pulleyroute.net.http import Broken, Late, Malformed, Message, Stream
+from pulleyroute.net.lifecycle import TAKES_CLIENTS, Phase
 from pulleyroute.net.listener import Listener
 from pulleyroute.net.loop import Coroutine, Loop, Task
 
--- a/pulleyroute/net/service_client.py
+++ b/pulleyroute/net/service_client.py
@@ -16,11 +16,11 @@
 
 from pulleyroute.interface import Settings, WorkerId
 from pulleyroute.net.buffers import BufferPool, Ledger
-from pulleyroute.net.duty import Duty
 from pulleyroute.net.figures import Ended, Figures, by_status
 from pulleyroute.net.host import Answer, Call, Ending, Host, Job, Request, State
 from pulleyroute.net.http import Broken, Headers, Late, Malformed, Message, Stream
 from pulleyroute.net.instance import read_report
+from pulleyroute.net.lifecycle import Lifecycle
 from pulleyroute.net.listener import Listener
 from pulleyroute.net.loop import ENDED, READABLE, Coroutine, Loop, Task, Wait, Woken
 
@@ -104,7 +104,7 @@
         self._begun: Line = OrderedDict()  # strangers that have sent part of a request
         self._idle: Line = OrderedDict()  # known ones between two requests
         self.listener = Listener(loop, "listener", self._room, self._shed, self._welcome)
-        self.duty = Duty()
+        self.lifecycle = Lifecycle()
         self._figures = figures or Figures()
         self._move: Move | None = None  # to another process, once it has taken over
         # A call-back for a job that is not here: whether it was heard by whoever has it, or nobody has.
@@ -114,7 +114,7 @@
 
     def listen(self, address: tuple[str, int]) -> None:
         self.listener.listen(address)
-        self.duty.serve()
+        self.lifecycle.serve()
 
     @property
     def address(self) -> tuple[str, int]:
@@ -144,23 +144,23 @@
     def stop(self) -> None:
         """SIGTERM: keep serving, end the connections in good time, and leave once all is answered."""
         longest = max(cls.give_up for cls in self._settings.classes)
-        if self.duty.end(self._loop.now(), longest):
+        if self.lifecycle.end(self._loop.now(), longest):
             self._let_go()
 
     def standby(self) -> None:
         """Drain: new clients are not wanted, those that are here are sent elsewhere, the process stays."""
-        if self.duty.standby(self._loop.now()):
+        if self.lifecycle.standby(self._loop.now()):
             self._let_go()
 
     def active(self) -> None:
         """Back to work; what is not closed yet stays open."""
-        self.duty.active()
+        self.lifecycle.active()
 
     # Another process of this dispatcher
 
     def hand(self, move: Move) -> None:
         """Another process takes the clients: accept no more, and move to it what is here."""
-        if self.duty.hand(self._loop.now()):
+        if self.lifecycle.hand(self._loop.now()):
             self._move = move
             self.listener.pause()
             self._let_go()
@@ -169,7 +169,7 @@
     def resume(self) -> None:
         """The other process is gone: take clients again, unless this one was told to end."""
         self._move = None
-        if self.duty.resume():
+        if self.lifecycle.resume():
             self.listener.resume()
 
     def _moving(self) -> None:
@@ -222,18 +222,18 @@
         self._begin(connection, first)
 
     def _let_go(self) -> None:
-        for at in self.duty.due(self._loop.now()):
+        for at in self.lifecycle.due(self._loop.now()):
             self._loop.call_at(at, self._look)
 
     def _look(self) -> None:
-        """One of the duty's times has come: end what may be held no longer."""
+        """One of the lifecycle's times has come: end what may be held no longer."""
         now = self._loop.now()
-        if now >= self.duty.idle_from:
+        if now >= self.lifecycle.idle_from:
             # A nudge and no close: what has come, and is not read yet, is served.
             for connection in [*self._silent, *self._idle]:
                 if connection.task is not None:
                     connection.task.nudge()
-        if now >= self.duty.cut_from:
+        if now >= self.lifecycle.cut_from:
             reading = [c for c in self._connections if not c.working and c.line is not self._lingering]
             for connection in reading:
                 connection.stream.farewell(SHED)
@@ -243,7 +243,7 @@
 
     def _leave(self) -> None:
         """Stop the loop once nothing is owed any more."""
-        if self.duty.quiet(self._loop.now()) and not self._host.open and not self._connections:
+        if self.lifecycle.quiet(self._loop.now()) and not self._host.open and not self._connections:
             logger.bind(event="stopped").info("all is answered, leaving")
             self.left()
 
@@ -308,7 +308,7 @@
                     else:
                         until = connection.since + STRANGER_TIME
                         self._stand(connection, self._begun)
-                    if self._loop.now() >= self.duty.cut_from:
+                    if self._loop.now() >= self.lifecycle.cut_from:
                         until = min(until, self._loop.now() + LATE_SILENCE)
                     message = yield from stream.request(until)
                     self._stand(connection, None)
@@ -337,7 +337,7 @@
             self._stand(connection, None)
             self._connections.discard(connection)
             stream.close()
-            if self.duty.quiet(self._loop.now()):
+            if self.lifecycle.quiet(self._loop.now()):
                 self._loop.call_at(self._loop.now(), self._leave)
 
     def _first_byte(self, connection: Connection) -> Coroutine[bool]:
@@ -352,7 +352,7 @@
                 count = stream.pull()
                 if count is not None:
                     return count > 0
-                if self._loop.now() >= self.duty.idle_from:
+                if self._loop.now() >= self.lifecycle.idle_from:
                     # Guards the drain: one that connects now is given a moment, and not a stranger's time.
                     until = min(until, connection.since + LATE_SILENCE)
                 woken = yield Wait(stream.fileno(), READABLE, until)
@@ -385,7 +385,7 @@
         kind = [(b"Content-Type", b"text/plain; charset=utf-8")] if body else []
         headers = [*kind, *(headers or [])]
         until = self._loop.now() + WRITE_TIME
-        close = close or self.duty.closing(self._loop.now())
+        close = close or self.lifecycle.closing(self._loop.now())
         return (yield from stream.answer(status, body, headers, close, until))
 
     def _route(self, connection: Connection, message: Message) -> Coroutine[bool]:
@@ -395,8 +395,8 @@
             if message.method not in (b"GET", b"HEAD"):
                 return (yield from self._tell(stream, 405, headers=[(b"Allow", b"GET, HEAD")]))
             connection.known = True
-            if not self.duty.ready:
-                return (yield from self._tell(stream, 503, self.duty.phase.value.encode()))
+            if not self.lifecycle.ready:
+                return (yield from self._tell(stream, 503, self.lifecycle.phase.value.encode()))
             return (yield from self._tell(stream, 200, b"ready\n"))
         if path == CALLBACK:
             if message.method != b"POST":
@@ -432,12 +432,12 @@
             self._figures.ended(name, Ended.DEFERRED)
             return (yield from self._tell(stream, 503, b"full", [retry_after(FULL_RETRY_AFTER)]))
         now = self._loop.now()
-        if self.duty.refuses(now):
+        if self.lifecycle.refuses(now):
             self._figures.ended(name, Ended.DEFERRED)
             # On standby: others serve, so there is no reason to wait.
-            return (yield from self._tell(stream, 503, self.duty.phase.value.encode(), close=True))
+            return (yield from self._tell(stream, 503, self.lifecycle.phase.value.encode(), close=True))
         # Guards what comes late against SIGKILL: it gets an answer before that, whatever becomes of it.
-        request.answer_by = self.duty.answer_by(now)
+        request.answer_by = self.lifecycle.answer_by(now)
         return (yield from self._working(connection, request))
 
     def _working(self, connection: Connection, request: Request) -> Coroutine[bool]:
--- a/pulleyroute/service/assembly.py
+++ b/pulleyroute/service/assembly.py
@@ -22,10 +22,10 @@
 from pulleyroute.interface import Settings, WorkerId
 from pulleyroute.net.buffers import BufferPool, Ledger
 from pulleyroute.net.discovery import DiscoveryClient
-from pulleyroute.net.duty import Duty, Phase
 from pulleyroute.net.figures import Ended, Figures, Gauges
 from pulleyroute.net.http2 import Limits
 from pulleyroute.net.instance import Instances
+from pulleyroute.net.lifecycle import Lifecycle, Phase
 from pulleyroute.net.loop import Loop
 from pulleyroute.net.management import DESCRIPTORS, Management, verbs
 from pulleyroute.net.process import descriptors
@@ -81,7 +81,7 @@
         sockets, memory = (limits.sockets, limits.memory) if limits is not None else (1024, 256 * 1024**2)
         self._budget = descriptors(sockets) - RESERVE - (DESCRIPTORS if config.management is not None else 0)
         self.figures = Figures()
-        self._duty = Duty()
+        self._lifecycle = Lifecycle()
         self.status = 0  # that the process is to end with
         self.moved: Callable[[], None] = lambda: None  # hears of each change of phase
         loop.moderation.span = limits.rest if limits is not None else 50
@@ -94,14 +94,14 @@
                 raise CannotServe(
                     "management: cannot listen on {}:{}: {}".format(*config.management, exc.strerror)
                 ) from None
-        self._duty.serve()
+        self._lifecycle.serve()
 
     # For the operators' door
 
     @property
     def phase(self) -> Phase:
         """What it is doing for its clients."""
-        return self._duty.phase
+        return self._lifecycle.phase
 
     def classes(self) -> list[str]:
         """The names of the classes in force."""
@@ -118,7 +118,7 @@
 
     def standby(self) -> None:
         """Drain, and stay: jobs' clients are sent elsewhere, and health says that nothing is served."""
-        if self._duty.standby(self._loop.now()):
+        if self._lifecycle.standby(self._loop.now()):
             self.health.change(False)
             for each in self.clients.values():
                 each.standby()
@@ -126,7 +126,7 @@
 
     def active(self) -> None:
         """Back to work."""
-        if self._duty.active():
+        if self._lifecycle.active():
             self.health.change(True)
             for each in self.clients.values():
                 each.active()
@@ -396,7 +396,7 @@
 
     def stop(self) -> None:
         """Nothing new; what is out finishes, bounded by each listener's drain; then the loop stops."""
-        if not self._duty.end(self._loop.now(), 0):
+        if not self._lifecycle.end(self._loop.now(), 0):
             return
         self.health.change(False)
         self.moved()
--- a/tests/fleet/test_agent.py
+++ b/tests/fleet/test_agent.py
@@ -11,7 +11,7 @@
 from pulleyroute.fleet.runners import Runner, RunnerBounds
 from pulleyroute.fleet.store import Client
 from pulleyroute.net.buffers import BufferPool
-from pulleyroute.net.duty import Phase
+from pulleyroute.net.lifecycle import Phase
 from tests.fleet.test_store import drive
 from tests.net.scene import SECOND, StillLoop
 
--- a/tests/fleet/test_release.py
+++ b/tests/fleet/test_release.py
@@ -12,7 +12,7 @@
 from pulleyroute.fleet.records import Health, Known, Wish
 from pulleyroute.fleet.release import Move, Plan, Seen, State, begin, step
 from pulleyroute.fleet.release import Refused as NotSo
-from pulleyroute.net.duty import Phase
+from pulleyroute.net.lifecycle import Phase
 from tests.fleet.test_agent import Fleet, together
 
 SECOND = 1_000_000
--- a/tests/net/test_handover.py
+++ b/tests/net/test_handover.py
@@ -9,8 +9,8 @@
 from hypothesis import strategies as st
 
 from pulleyroute import recall
-from pulleyroute.net.duty import Phase
 from pulleyroute.net.handover import STATE_TIME, Handover, Link, Unreadable, inherited, pack, place, unpack
+from pulleyroute.net.lifecycle import Phase
 from pulleyroute.net.loop import Task
 from pulleyroute.net.service_client import ServiceClient
 from tests.net.scene import READY, SECOND, TAKEN, Scene, callback
@@ -160,7 +160,7 @@
     # Guards the job: 204 would be the instance's last word on it.
     open_job(old, "/charge", "t1", accept=False)
     new = old.next()
-    passing(old, lambda: old.clients.duty.phase is Phase.HANDED)
+    passing(old, lambda: old.clients.lifecycle.phase is Phase.HANDED)
     old.handover._after._task.cancel()  # it hangs
     assert b" 503 " in told(new, "t1", "s-0")
 
@@ -221,7 +221,7 @@
     new = old
     for _ in range(upgrades):
         before, new = new, new.next()
-        passing(old, lambda p=before: p.clients.duty.phase is Phase.HANDED)
+        passing(old, lambda p=before: p.clients.lifecycle.phase is Phase.HANDED)
     if state == "unknown":
         assert b" 204 " in told(new, "nobody", instance)
         return
@@ -288,7 +288,7 @@
     old.loop.skip(1_500_000)
     assert seen[: number + 1] == MESSAGES[: number + 1]
     stays = processes["new" if doomed == "old" else "old"]
-    passing(old, lambda: stays.clients.duty.ready)
+    passing(old, lambda: stays.clients.lifecycle.ready)
     for txn, (client, instance, peer) in jobs.items():
         assert not (old.host.knows(txn) and new.host.knows(txn))
         if not stays.host.knows(txn):
@@ -303,7 +303,7 @@
     assert stays.known()
     monkeypatch.undo()
     if doomed == "new":
-        assert old.next().clients.duty.ready  # it can be met again
+        assert old.next().clients.lifecycle.ready  # it can be met again
     idle.close()
 
 
@@ -314,18 +314,18 @@
         patch.setattr(os, "getuid", lambda: 77777)
         stranger = old.next()
     old.loop.skip(100_000)
-    assert stranger.clients.duty.ready and old.clients.duty.phase is Phase.SERVING
+    assert stranger.clients.lifecycle.ready and old.clients.lifecycle.phase is Phase.SERVING
     new = old.next(listens=False)
     with monkeypatch.context() as patch:
         patch.setattr(Handover, "_use", lambda handover, *_: new.clients.stop() or Phase.SERVING)
         new.serve()
-    assert new.clients.listener.sock is None and new.clients.duty.phase is Phase.ENDING
+    assert new.clients.listener.sock is None and new.clients.lifecycle.phase is Phase.ENDING
 
 
 def test_a_standby_goes_over(old):
     old.clients.standby()
     new = old.next()
-    assert new.clients.duty.phase is Phase.STANDBY
+    assert new.clients.lifecycle.phase is Phase.STANDBY
     new.clients.active()
     assert new.known()
 
@@ -361,7 +361,7 @@
         folder = tmp_path / "none" if how == "no folder" else tmp_path
         new = Process(folder, platform)
         assert new.loop.time <= 1_000 * SECOND + STATE_TIME + SECOND // 10
-        assert new.known() and new.clients.duty.ready
+        assert new.known() and new.clients.lifecycle.ready
     door.close()
 
 
--- a/tests/net/test_duty.py
+++ b/tests/net/test_lifecycle.py
@@ -5,43 +5,48 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pulleyroute.net.duty import NEVER, STANDBY_IDLE, Duty, Phase
+from pulleyroute.net.lifecycle import NEVER, STANDBY_IDLE, Lifecycle, Phase
 from tests.net.scene import READY, SECOND, Scene
 
 LONGEST = 25 * SECOND
 
 
 def test_it_moves_only_where_the_table_says():
-    duty = Duty()
-    assert not duty.takes_clients and not duty.active()
-    duty.serve()
-    assert duty.ready and duty.standby(0) and not duty.standby(5) and duty.close_from == 0
-    duty.serve()
-    assert not duty.ready and duty.takes_clients and duty.active() and duty.ready
-    assert duty.close_from == duty.idle_from == duty.refuse_from == duty.cut_from == NEVER
-    assert duty.end(9, LONGEST) and not duty.active() and not duty.standby(10) and not duty.end(11, LONGEST)
-    assert duty.phase is Phase.ENDING and not duty.takes_clients
+    lifecycle = Lifecycle()
+    assert not lifecycle.takes_clients and not lifecycle.active()
+    lifecycle.serve()
+    assert lifecycle.ready and lifecycle.standby(0) and not lifecycle.standby(5) and lifecycle.close_from == 0
+    lifecycle.serve()
+    assert not lifecycle.ready and lifecycle.takes_clients and lifecycle.active() and lifecycle.ready
+    assert lifecycle.close_from == lifecycle.idle_from == lifecycle.refuse_from == lifecycle.cut_from == NEVER
+    assert (
+        lifecycle.end(9, LONGEST)
+        and not lifecycle.active()
+        and not lifecycle.standby(10)
+        and not lifecycle.end(11, LONGEST)
+    )
+    assert lifecycle.phase is Phase.ENDING and not lifecycle.takes_clients
 
 
 @given(st.lists(st.tuples(st.sampled_from(["standby", "active", "end"]), st.integers(0, 5 * SECOND))))
 def test_nothing_is_held_past_the_pages_times_however_the_calls_come(calls):
-    duty, now, since = Duty(), 0, None
-    duty.serve()
+    lifecycle, now, since = Lifecycle(), 0, None
+    lifecycle.serve()
     for call, later in calls:
         now += later
         if call == "active":
-            duty.active()
+            lifecycle.active()
         else:
-            duty.standby(now) if call == "standby" else duty.end(now, LONGEST)
-        if duty.phase is Phase.STANDBY:
+            lifecycle.standby(now) if call == "standby" else lifecycle.end(now, LONGEST)
+        if lifecycle.phase is Phase.STANDBY:
             since = now if since is None else since
-        elif duty.phase is Phase.SERVING:
+        elif lifecycle.phase is Phase.SERVING:
             since = None
         if since is not None:  # the drain that is on, or that an end has followed
-            assert duty.closing(max(now, since)) and duty.refuses(since + 2 * SECOND)
-            assert max(duty.idle_from, duty.cut_from) < since + 4 * SECOND
-        if duty.phase is Phase.ENDING:
-            assert duty.answer_by(now + SECOND) <= now + 3_700_000
+            assert lifecycle.closing(max(now, since)) and lifecycle.refuses(since + 2 * SECOND)
+            assert max(lifecycle.idle_from, lifecycle.cut_from) < since + 4 * SECOND
+        if lifecycle.phase is Phase.ENDING:
+            assert lifecycle.answer_by(now + SECOND) <= now + 3_700_000
 
 
 def done(scene, txn):
@@ -136,7 +141,7 @@
     scene.clients.standby()
     scene.loop.skip(10 * SECOND)
     scene.parts.adopt(settings)  # shorter for who comes next; neither the drain nor this job hears of it
-    assert not scene.clients.duty.ready
+    assert not scene.clients.lifecycle.ready
     scene.loop.skip(10 * SECOND)
     done(scene, "t1")
     head, body = client.message()
--- a/tests/net/test_management.py
+++ b/tests/net/test_management.py
@@ -43,7 +43,7 @@
     assert int(peer.message()[0].split()[1]) == status
     scene.loop.until(lambda: peer.pull() is not None and peer.ended)
     scene.loop.skip(SECOND + 10_000)
-    assert scene.clients.duty.ready and not scene.door._count
+    assert scene.clients.lifecycle.ready and not scene.door._count
 
 
 def test_callers_that_say_nothing_cannot_keep_a_call_out_nor_can_clients():
--- a/tests/net/test_start.py
+++ b/tests/net/test_start.py
@@ -7,8 +7,8 @@
 
 from pulleyroute.__main__ import build
 from pulleyroute.net.config import load_config
-from pulleyroute.net.duty import Phase
 from pulleyroute.net.handover import Handover
+from pulleyroute.net.lifecycle import Phase
 from pulleyroute.net.list_freshness import START_PATIENCE, ListFreshness, Standing
 from tests.net.scene import INFO, MS, READY, SECOND, TAKEN, Listener, Peer, Scene, StillLoop, callback
 from tests.net.test_discovery import CHUNKS, chunk
@@ -212,7 +212,7 @@
 @pytest.mark.parametrize("dispatchers", [1, 200])
 def test_where_discovery_is_away_for_good_the_list_of_the_configuration_serves(start, way, dispatchers):
     scene = start(away=way == "refuses", dispatchers=dispatchers)
-    while not scene.parts.clients.duty.ready:
+    while not scene.parts.clients.lifecycle.ready:
         if way == "breaks off" and (peer := scene.come()) is not None:
             peer.close()
         scene.step()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -145,7 +145,7 @@
                 "net.buffers",
                 "net.config",
                 "net.host",
-                "net.duty",
+                "net.lifecycle",
                 "net.figures",
                 "net.handover",
                 "net.http",
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -233,9 +233,9 @@
     )
     play.path.write_text(text)
     reload(play.service, play.path)
-    assert not play.service.clients["jobs"].duty.ready
+    assert not play.service.clients["jobs"].lifecycle.ready
     play.path.write_text("{")
     reload(play.service, play.path)
     assert (play.service.figures.conf_loaded, play.service.figures.conf_invalid) == (1, 1)
     play.service.active()
-    assert play.service.clients["jobs"].duty.ready
+    assert play.service.clients["jobs"].lifecycle.ready
