Rename net/figures.py to metrics.py, with its class and attributes

Behaviour is unchanged: names, imports and prose only. The lines that are served (app....), the call /status/metrics and the key "figures" in what `pulleyroute demo` prints as JSON stay as they are.

--- a/pulleyroute/__main__.py
+++ b/pulleyroute/__main__.py
@@ -21,13 +21,13 @@
 from pulleyroute.net.buffers import BufferPool, Ledger
 from pulleyroute.net.config import Config, ConfigError, load_config
 from pulleyroute.net.discovery import DiscoveryClient
-from pulleyroute.net.figures import Figures, Gauges
 from pulleyroute.net.handover import Handover, inherited, place
 from pulleyroute.net.host import Host
 from pulleyroute.net.instance import Instances
 from pulleyroute.net.lifecycle import Phase
 from pulleyroute.net.loop import Loop
 from pulleyroute.net.management import DESCRIPTORS, Management, verbs
+from pulleyroute.net.metrics import Gauges, Metrics
 from pulleyroute.net.process import catch_signals, descriptors, heeding, on_error
 from pulleyroute.net.service_client import ServiceClient
 
@@ -59,7 +59,7 @@
     instances: Instances
     clients: ServiceClient
     host: Host
-    figures: Figures
+    metrics: Metrics
     other: tuple[int, int] | None = None  # descriptors and bytes that another process of the dispatcher holds
 
     # For the operators' door
@@ -123,10 +123,10 @@
     pool, ledger = BufferPool(), Ledger(readable(config))
     epoch = time.time_ns() // 1000 - loop.now()
     discovery = DiscoveryClient(loop, pool, config.discovery, config.settings, epoch, config.seed + 1)
-    figures = Figures()
+    metrics = Metrics()
     budget = budget_of(config)
     instances = Instances(
-        loop, pool, discovery, config.settings, int(budget * INSTANCE_SHARE), figures, config.seed + 2
+        loop, pool, discovery, config.settings, int(budget * INSTANCE_SHARE), metrics, config.seed + 2
     )
     host = Host(loop, config.settings, config.seed, discovery, instances)
     if config.known is not None:
@@ -142,9 +142,9 @@
         config.settings,
         int(budget * CLIENT_SHARE),
         int(budget * JOB_SHARE),
-        figures,
+        metrics,
     )
-    parts = Parts(config, ledger, discovery, instances, clients, host, figures)
+    parts = Parts(config, ledger, discovery, instances, clients, host, metrics)
     discovery.begin()
     if listener is None:
         # Open from the start, for `/-/ready` and call-backs; clients are wanted once the list may be used.
@@ -185,7 +185,7 @@
     try:
         config = load_config(os.environ, parts.config)
     except ConfigError as exc:
-        parts.figures.conf_invalid += 1
+        parts.metrics.conf_invalid += 1
         # Guards the service against a file that can't be used: what is in force goes on.
         logger.bind(event="config.refused").error("configuration not read again: {}", exc)
         return
@@ -200,7 +200,7 @@
     for name in ("name", "listen", "management"):
         if getattr(config, name) != getattr(old, name):
             logger.warning("a change of {} needs a restart", name)
-    parts.figures.conf_loaded += 1
+    parts.metrics.conf_loaded += 1
     parts.discovery.move(config.discovery)
     old.settings = parts.adopt(config.settings)
     old.discovery, old.sockets, old.memory_mb = config.discovery, config.sockets, config.memory_mb
--- a/pulleyroute/cli/demo.py
+++ b/pulleyroute/cli/demo.py
@@ -63,7 +63,7 @@
                 {
                     "rows": [dict(zip(names, row, strict=True)) for row in rows],
                     "broken": result.broken,
-                    "figures": result.figures,
+                    "figures": result.metrics,
                     "seconds": round(result.seconds, 3),
                 }
             )
@@ -77,7 +77,7 @@
                 row[0], *(f"{value:.1f}" if isinstance(value, float) else str(value) for value in row[1:])
             )
         console.print(table)
-        shown = ", ".join(f"{name.removeprefix('app.')} {value}" for name, value in result.figures.items())
+        shown = ", ".join(f"{name.removeprefix('app.')} {value}" for name, value in result.metrics.items())
         console.print(f"the operators' door said: {shown}", highlight=False)
         console.print(f"rules broken: {len(result.broken)}", style="red" if result.broken else "green")
         for line in result.broken[:10]:
--- a/pulleyroute/cli/serve.py
+++ b/pulleyroute/cli/serve.py
@@ -89,11 +89,11 @@
         config = load(path)
         made = service.apply(config)
     except (Invalid, CannotServe) as exc:
-        service.figures.conf_invalid += 1
+        service.metrics.conf_invalid += 1
         for line in str(exc).splitlines():
             logger.bind(event="config.refused").error("configuration not read again: {}", line)
         return
-    service.figures.conf_loaded += 1
+    service.metrics.conf_loaded += 1
     for key in made.restart:
         logger.bind(event="config.restart", key=key).warning("a change of {} needs a restart", key)
     logger.bind(event="config.reloaded").info(
--- a/pulleyroute/fleet/store.py
+++ b/pulleyroute/fleet/store.py
@@ -93,7 +93,7 @@
         self._endpoints = endpoints
         self._at = 0
         self._random = Random(seed)
-        self.calls = 0  # made, for the figures
+        self.calls = 0  # made, for the metrics
 
     # One call
 
--- a/pulleyroute/grpc/back.py
+++ b/pulleyroute/grpc/back.py
@@ -16,12 +16,12 @@
 from pulleyroute.interface import LoadReport, Outcome, Settings, WorkerId
 from pulleyroute.net.buffers import BufferPool
 from pulleyroute.net.discovery import DiscoveryClient
-from pulleyroute.net.figures import Figures
 from pulleyroute.net.host import Host
 from pulleyroute.net.http import Broken, Crowded, Headers, Late, dial
 from pulleyroute.net.http2 import Code, Http2, Limits
 from pulleyroute.net.instance import Attempt, Ended, Gate, Probed, Rejected
 from pulleyroute.net.loop import Coroutine, Loop, Task, Wait
+from pulleyroute.net.metrics import Metrics
 from pulleyroute.net.tls import Tls
 
 CONNECT_TIME = 1_000_000  # where the settings name no limit; up to the peer's first SETTINGS
@@ -56,9 +56,9 @@
         message_bytes: int = 0,
         context: ssl.SSLContext | None = None,
         server_name: str = "",
-        figures: Figures | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
-        self._figures = figures or Figures()
+        self._metrics = metrics or Metrics()
         self._loop, self._pool, self._discovery, self._settings = loop, pool, discovery, settings
         self.limits, self.slots, self.message_bytes = limits, slots, message_bytes
         self.context, self.server_name = context, server_name
@@ -114,7 +114,7 @@
         attempt.written = True  # from its head on it may run
         try:
             upstream.stream = connection.request(headers, upstream)
-            self._figures.sends += 1
+            self._metrics.sends += 1
         except Broken:
             attempt.written = False
             self._let_go(attempt)
--- a/pulleyroute/grpc/front.py
+++ b/pulleyroute/grpc/front.py
@@ -17,12 +17,12 @@
 from pulleyroute.grpc.status import Status
 from pulleyroute.net import log
 from pulleyroute.net.buffers import BufferPool, Ledger
-from pulleyroute.net.figures import Ended, Figures
 from pulleyroute.net.host import Host, Request
 from pulleyroute.net.http import Headers
 from pulleyroute.net.http2 import FLOOD, Http2, Limits, Owner, Stream
 from pulleyroute.net.listener import Listener
 from pulleyroute.net.loop import Loop
+from pulleyroute.net.metrics import Ended, Metrics
 from pulleyroute.net.tls import Tls
 
 FULL_ADVICE = 1_000_000
@@ -70,7 +70,7 @@
         health: Health,
         context: ssl.SSLContext | None = None,
         name: str = "grpc",
-        figures: Figures | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
         self._loop, self._pool = loop, pool
         self.routes, self.limits, self.context = routes, limits, context
@@ -79,7 +79,7 @@
         self.ledger = Ledger(limits.memory)
         self.calls: set[Call] = set()
         self.connections: set[Http2] = set()
-        self._figures = figures or Figures()
+        self._metrics = metrics or Metrics()
         self._listener = Listener(loop, f"listener {name}", self._room, self._shed, self._welcome)
         self._unread: dict[Stream, int] = {}  # ended calls whose answers wait for their clients, until when
         self.stopping = False
@@ -177,7 +177,7 @@
             raise BadHead(Status.DEADLINE_EXCEEDED, "the deadline was over when the call came")
         host = target.host
         if len(self.calls) >= self.limits.calls or self.ledger.full:
-            self._figures.ended(target.class_name, Ended.DEFERRED)
+            self._metrics.ended(target.class_name, Ended.DEFERRED)
             stream.send_headers(failure(Status.UNAVAILABLE, "full: it has not run", FULL_ADVICE), end=True)
             return Ignored(stream)
         call = Call(
@@ -205,7 +205,7 @@
         self.calls.discard(call)
         if call.job is not None and not call.gone:
             how = Ended.ANSWERED if status is Status.OK else Ended.DEFERRED if call.refused else Ended.ERRORED
-            self._figures.ended(call.job.cls.name, how)
+            self._metrics.ended(call.job.cls.name, how)
         if call.stream.waiting and call.stream.open and call.job is not None:
             self._unread[call.stream] = max(call.job.deadline, self._loop.now()) + GRACE
             if len(self._unread) == 1:
--- a/pulleyroute/lab/demo.py
+++ b/pulleyroute/lab/demo.py
@@ -102,11 +102,11 @@
     attempts: Counter[str]
     broken: list[str]
     seconds: float
-    figures: dict[str, int] = field(default_factory=dict)  # what the operators' door said at the end
+    metrics: dict[str, int] = field(default_factory=dict)  # what the operators' door said at the end
 
 
-def figures(door: str) -> dict[str, int]:
-    """The figures that a door shows, by name."""
+def metrics(door: str) -> dict[str, int]:
+    """The metrics that a door shows, by name."""
     with urllib.request.urlopen(f"http://{door}/status/metrics", timeout=10) as answer:
         lines = [line.split("|")[0].split(":") for line in answer.read().decode().splitlines()]
     return {name: int(value) for name, value in lines}
@@ -162,7 +162,7 @@
             try:
                 self._await(program, jobs, Path(folder) / "log")
                 result = self._play(jobs, calls, discovery, boxes, apps, tick)
-                result.figures = figures(door)
+                result.metrics = metrics(door)
                 program.send_signal(signal.SIGTERM)
                 with contextlib.suppress(subprocess.TimeoutExpired):
                     program.wait(10)
--- a/pulleyroute/net/instance.py
+++ b/pulleyroute/net/instance.py
@@ -17,9 +17,9 @@
 from pulleyroute.net.backoff import Backoff
 from pulleyroute.net.buffers import BufferPool
 from pulleyroute.net.discovery import DiscoveryClient
-from pulleyroute.net.figures import Figures
 from pulleyroute.net.http import Broken, Crowded, Headers, Late, Malformed, Message, Stream, connect
 from pulleyroute.net.loop import Coroutine, Loop, Task, Timer, Wait
+from pulleyroute.net.metrics import Metrics
 
 PROBE_TIME = 500_000
 GIVE_UP_TIME = 1_000_000  # for a DELETE and its answer
@@ -119,7 +119,7 @@
         discovery: DiscoveryClient,
         settings: Settings,
         most: int,
-        figures: Figures | None = None,
+        metrics: Metrics | None = None,
         seed: int = 0,
     ) -> None:
         self._loop = loop
@@ -128,7 +128,7 @@
         self._random = Random(seed)
         self.adopt(settings)
         self._most = most  # connections at once
-        self._figures = figures or Figures()
+        self._metrics = metrics or Metrics()
         self._count = 0
         self._idle: dict[WorkerId, list[Kept]] = {}
         self._sweeping = False
@@ -293,7 +293,7 @@
                 self.ended(attempt, Outcome.CONNECT_FAILED, None)
                 return
             attempt.written = True
-            self._figures.sends += 1
+            self._metrics.sends += 1
             try:
                 # No resending from here on, whatever the connection does: the request may have run.
                 answer = yield from stream.response(
--- a/pulleyroute/net/management.py
+++ b/pulleyroute/net/management.py
@@ -9,11 +9,11 @@
 from loguru import logger
 
 from pulleyroute.net.buffers import BufferPool
-from pulleyroute.net.figures import Figures, Gauges
 from pulleyroute.net.http import Broken, Late, Malformed, Message, Stream
 from pulleyroute.net.lifecycle import TAKES_CLIENTS, Phase
 from pulleyroute.net.listener import Listener
 from pulleyroute.net.loop import Coroutine, Loop, Task
+from pulleyroute.net.metrics import Gauges, Metrics
 
 CALLERS = 24  # connections at once
 DESCRIPTORS = CALLERS + 2  # to be set aside: those, the listener, and one that waits for room
@@ -102,7 +102,7 @@
 class Operated(Protocol):
     """What the operators run, of whatever parts."""
 
-    figures: Figures
+    metrics: Metrics
 
     @property
     def phase(self) -> Phase: ...
@@ -118,8 +118,8 @@
     def status() -> tuple[int, bytes]:
         return 200 if operated.phase in TAKES_CLIENTS else 503, f"{operated.phase.value}\n".encode()
 
-    def figures() -> tuple[int, bytes]:
-        return 200, operated.figures.render(operated.classes(), operated.gauges())
+    def metrics() -> tuple[int, bytes]:
+        return 200, operated.metrics.render(operated.classes(), operated.gauges())
 
     def moving(name: str, move: Callable[[], None]) -> Verb:
         def verb() -> tuple[int, bytes]:
@@ -132,7 +132,7 @@
 
     return {
         b"/status": {b"GET": status},
-        b"/status/metrics": {b"GET": figures},
+        b"/status/metrics": {b"GET": metrics},
         b"/standby": {b"POST": moving("standby", operated.standby)},
         b"/active": {b"POST": moving("active", operated.active)},
     }
--- a/pulleyroute/net/metrics.py
+++ b/pulleyroute/net/metrics.py
@@ -1,4 +1,4 @@
-"""The operators' figures: counts kept where things happen, and their rendering as statsd lines.
+"""The operators' metrics: counts kept where things happen, and their rendering as statsd lines.
 
 Counts begin at 0 with the process and never fall. A class that a new configuration drops keeps its counts.
 What is a state is not kept here but asked of its owner at each rendering, as a `Gauges`.
@@ -41,7 +41,7 @@
     cluster_unhealthy: int
 
 
-class Figures:
+class Metrics:
     """Owns the counts."""
 
     def __init__(self) -> None:
--- a/pulleyroute/net/service_client.py
+++ b/pulleyroute/net/service_client.py
@@ -16,13 +16,13 @@
 
 from pulleyroute.interface import Settings, WorkerId
 from pulleyroute.net.buffers import BufferPool, Ledger
-from pulleyroute.net.figures import Ended, Figures, by_status
 from pulleyroute.net.host import Answer, Call, Ending, Host, Job, Request, State
 from pulleyroute.net.http import Broken, Headers, Late, Malformed, Message, Stream
 from pulleyroute.net.instance import read_report
 from pulleyroute.net.lifecycle import Lifecycle
 from pulleyroute.net.listener import Listener
 from pulleyroute.net.loop import ENDED, READABLE, Coroutine, Loop, Task, Wait, Woken
+from pulleyroute.net.metrics import Ended, Metrics, by_status
 
 READY = b"/-/ready"
 CALLBACK = b"/callback"
@@ -89,7 +89,7 @@
         settings: Settings,
         most: int,
         most_jobs: int,
-        figures: Figures | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
         self._loop = loop
         self._pool = pool
@@ -105,7 +105,7 @@
         self._idle: Line = OrderedDict()  # known ones between two requests
         self.listener = Listener(loop, "listener", self._room, self._shed, self._welcome)
         self.lifecycle = Lifecycle()
-        self._figures = figures or Figures()
+        self._metrics = metrics or Metrics()
         self._move: Move | None = None  # to another process, once it has taken over
         # A call-back for a job that is not here: whether it was heard by whoever has it, or nobody has.
         self.elsewhere: Callable[[Call, bytes], Coroutine[bool]] | None = None
@@ -429,11 +429,11 @@
         if self._host.open >= self._most_jobs or self._host.held >= HELD * self._most_jobs:
             # Guards the descriptors that instances' calls need, without which no job would ever end, and the
             # memory that clients could fill who leave at once and come again.
-            self._figures.ended(name, Ended.DEFERRED)
+            self._metrics.ended(name, Ended.DEFERRED)
             return (yield from self._tell(stream, 503, b"full", [retry_after(FULL_RETRY_AFTER)]))
         now = self._loop.now()
         if self.lifecycle.refuses(now):
-            self._figures.ended(name, Ended.DEFERRED)
+            self._metrics.ended(name, Ended.DEFERRED)
             # On standby: others serve, so there is no reason to wait.
             return (yield from self._tell(stream, 503, self.lifecycle.phase.value.encode(), close=True))
         # Guards what comes late against SIGKILL: it gets an answer before that, whatever becomes of it.
@@ -480,7 +480,7 @@
         status, body, headers = _FORMS[answer.ending](answer)
         going = yield from self._tell(stream, status, body, headers, close=stream.skipped)
         # Guards the truth of the count: a job ends with the last byte of its answer, and not before.
-        self._figures.ended(job.cls.name, by_status(status))
+        self._metrics.ended(job.cls.name, by_status(status))
         return going
 
 
--- a/pulleyroute/service/assembly.py
+++ b/pulleyroute/service/assembly.py
@@ -22,12 +22,12 @@
 from pulleyroute.interface import Settings, WorkerId
 from pulleyroute.net.buffers import BufferPool, Ledger
 from pulleyroute.net.discovery import DiscoveryClient
-from pulleyroute.net.figures import Ended, Figures, Gauges
 from pulleyroute.net.http2 import Limits
 from pulleyroute.net.instance import Instances
 from pulleyroute.net.lifecycle import Lifecycle, Phase
 from pulleyroute.net.loop import Loop
 from pulleyroute.net.management import DESCRIPTORS, Management, verbs
+from pulleyroute.net.metrics import Ended, Gauges, Metrics
 from pulleyroute.net.process import descriptors
 from pulleyroute.net.service_client import ServiceClient
 from pulleyroute.net.tls import Files, client_context, server_context
@@ -80,7 +80,7 @@
         limits = config.limits
         sockets, memory = (limits.sockets, limits.memory) if limits is not None else (1024, 256 * 1024**2)
         self._budget = descriptors(sockets) - RESERVE - (DESCRIPTORS if config.management is not None else 0)
-        self.figures = Figures()
+        self.metrics = Metrics()
         self._lifecycle = Lifecycle()
         self.status = 0  # that the process is to end with
         self.moved: Callable[[], None] = lambda: None  # hears of each change of phase
@@ -183,7 +183,7 @@
 
     def jobs(self) -> tuple[int, int]:
         """How many jobs were served, and how many have ended, since the start."""
-        counts = [self.figures.counts(name) for name in self.classes()]
+        counts = [self.metrics.counts(name) for name in self.classes()]
         return sum(each[Ended.ANSWERED] for each in counts), sum(sum(each.values()) for each in counts)
 
     # Configurations
@@ -271,7 +271,7 @@
                 pool.message,
                 context,
                 pool.tls.server_name if pool.tls is not None else "",
-                self.figures,
+                self.metrics,
             )
         else:
             back = Instances(
@@ -280,7 +280,7 @@
                 discovery,
                 settings,
                 int(self._budget * INSTANCE_SHARE),
-                self.figures,
+                self.metrics,
             )
         host = FleetHost(self._loop, settings, self._random.getrandbits(64), discovery, back)
         if isinstance(back, Calls):
@@ -346,7 +346,7 @@
                 self.health,
                 context,
                 name,
-                self.figures,
+                self.metrics,
             )
             front.listen(listener.address)
             fronts[name] = front
@@ -362,7 +362,7 @@
             running.settings,
             most,
             min(limits.calls, int(self._budget * JOB_SHARE)),
-            self.figures,
+            self.metrics,
         )
         each.left = lambda: self._left.add(name)
         each.listen(listener.address)
--- a/tests/net/scene.py
+++ b/tests/net/scene.py
@@ -13,11 +13,11 @@
 from pulleyroute.interface import Settings
 from pulleyroute.net.buffers import BufferPool, Ledger
 from pulleyroute.net.discovery import DiscoveryClient
-from pulleyroute.net.figures import Figures
 from pulleyroute.net.host import Host
 from pulleyroute.net.instance import Instances
 from pulleyroute.net.loop import Loop
 from pulleyroute.net.management import Management, verbs
+from pulleyroute.net.metrics import Metrics
 from pulleyroute.net.service_client import ServiceClient
 from pulleyroute.settings import read_settings
 
@@ -176,19 +176,19 @@
         info = {**info, "caps": {**info["caps"], **caps}}
         self.settings: Settings = read_settings(info)[0]
         self.loop, pool = beside.loop if beside else StillLoop(), BufferPool()
-        self.figures = Figures()
+        self.metrics = Metrics()
         self.discovery_peer = beside.discovery_peer if beside else Listener(self.loop)
         self.discovery = DiscoveryClient(self.loop, pool, self.discovery_peer.address, self.settings, 0)
-        self.instances = Instances(self.loop, pool, self.discovery, self.settings, 20, self.figures)
+        self.instances = Instances(self.loop, pool, self.discovery, self.settings, 20, self.metrics)
         self.host = Host(self.loop, self.settings, 1, self.discovery, self.instances)
         self.runners = beside.runners if beside else {f"s-{i}": Listener(self.loop) for i in range(instances)}
         self.discovery.load_known(self.table(*self.runners))
         self.ledger = Ledger(1024 * 1024)
         self.clients = ServiceClient(
-            self.loop, pool, self.ledger, self.host, self.settings, most, most_jobs, self.figures
+            self.loop, pool, self.ledger, self.host, self.settings, most, most_jobs, self.metrics
         )
         self.parts = Parts(
-            None, self.ledger, self.discovery, self.instances, self.clients, self.host, self.figures
+            None, self.ledger, self.discovery, self.instances, self.clients, self.host, self.metrics
         )
         self.door = Management(self.loop, pool, verbs(self.parts))
         self.door.listen(("127.0.0.1", 0))
@@ -262,7 +262,7 @@
         return operate(self.loop, self.door.listener.address, method, path)
 
     def shown(self) -> dict[str, int]:
-        """The figures, less those that are 0."""
+        """The metrics, less those that are 0."""
         lines = self.operate("GET", "/status/metrics")[1].decode().splitlines()
         each = [re.fullmatch(r"app\.([a-z_.]+):(\d+)\|[cg]", line) for line in lines]
         return {match[1]: int(match[2]) for match in each if int(match[2])}
--- a/tests/net/test_management.py
+++ b/tests/net/test_management.py
@@ -1,12 +1,12 @@
-"""The operators' door, and the figures behind it held against what scripted peers saw."""
+"""The operators' door, and the metrics behind it held against what scripted peers saw."""
 
 import random
 from collections import Counter
 
 import pytest
 
-from pulleyroute.net.figures import Ended, Figures, Gauges
 from pulleyroute.net.management import CALLERS
+from pulleyroute.net.metrics import Ended, Gauges, Metrics
 from tests.net.scene import NACK, SECOND, TAKEN, Scene
 
 
@@ -70,15 +70,15 @@
 
 
 def test_names_that_would_break_a_line_are_made_fit_and_a_dropped_class_keeps_its_counts():
-    figures = Figures()
-    figures.ended("old", Ended.ANSWERED)
-    text = figures.render(["a:b|c\n"], Gauges(1, 2, 3)).decode()
+    metrics = Metrics()
+    metrics.ended("old", Ended.ANSWERED)
+    text = metrics.render(["a:b|c\n"], Gauges(1, 2, 3)).decode()
     assert "app.answered.a_b_c_:0|c\n" in text and "app.answered.old:1|c\n" in text
     assert "app.current:1|g\napp.cluster_size:2|g\napp.cluster_unhealthy:3|g\n" in text
 
 
 def test_every_ending_is_counted_once_under_the_status_that_the_client_got():
-    """Seeded traffic with every ending; what the scripted peers counted has to be what the figures say."""
+    """Seeded traffic with every ending; what the scripted peers counted has to be what the metrics say."""
     rng = random.Random(5)
     scene = Scene(instances=3, **{"max-attempts": 2})
     seen: Counter[str] = Counter()
--- a/tests/net/test_reload.py
+++ b/tests/net/test_reload.py
@@ -132,10 +132,10 @@
 
 def sent(parts, path: Path, text: str):
     """Whether a reload took the file; either way nothing may be half done."""
-    before, counts = copy.deepcopy(state(parts)), (parts.figures.conf_loaded, parts.figures.conf_invalid)
+    before, counts = copy.deepcopy(state(parts)), (parts.metrics.conf_loaded, parts.metrics.conf_invalid)
     path.write_text(text)
     reload(parts)
-    after = (parts.figures.conf_loaded, parts.figures.conf_invalid)
+    after = (parts.metrics.conf_loaded, parts.metrics.conf_invalid)
     if after == (counts[0], counts[1] + 1):
         assert state(parts) == before
         return False
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -146,7 +146,7 @@
                 "net.config",
                 "net.host",
                 "net.lifecycle",
-                "net.figures",
+                "net.metrics",
                 "net.handover",
                 "net.http",
                 "net.management",
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -236,6 +236,6 @@
     assert not play.service.clients["jobs"].lifecycle.ready
     play.path.write_text("{")
     reload(play.service, play.path)
-    assert (play.service.figures.conf_loaded, play.service.figures.conf_invalid) == (1, 1)
+    assert (play.service.metrics.conf_loaded, play.service.metrics.conf_invalid) == (1, 1)
     play.service.active()
     assert play.service.clients["jobs"].lifecycle.ready
