Rename net/service_client.py to downstream.py, and ServiceClient to Downstream

Need: downstream and upstream are the field's words for the two sides of a proxy; "service client" was read now as a program, now as the module.

Behaviour is unchanged: names, imports and prose only. Attributes `clients` keep their name: that is what they hold.

Checked: make lint; test_downstream (test_service_client before, each test kept), test_handover, test_lifecycle, test_main, test_start of tests/net, tests/test_service.py, tests/grpc/test_calls.py, tests/test_cli.py: 234 pass, and one of test_cli.py fails as before this commit (its list lacks net.call_slots and net.list_freshness).

--- a/pulleyroute/__main__.py
+++ b/pulleyroute/__main__.py
@@ -21,6 +21,7 @@
 from pulleyroute.net.buffers import BufferPool, Ledger
 from pulleyroute.net.config import Config, ConfigError, load_config
 from pulleyroute.net.discovery import DiscoveryClient
+from pulleyroute.net.downstream import Downstream
 from pulleyroute.net.handover import Handover, inherited, place
 from pulleyroute.net.host import Host
 from pulleyroute.net.instance import Instances
@@ -29,7 +30,6 @@
 from pulleyroute.net.management import DESCRIPTORS, Management, verbs
 from pulleyroute.net.metrics import Gauges, Metrics
 from pulleyroute.net.process import catch_signals, descriptors, heeding, on_error
-from pulleyroute.net.service_client import ServiceClient
 
 # How the descriptors are shared out. What is left is for discovery, the listener and the process itself.
 RESERVE = 24
@@ -57,7 +57,7 @@
     ledger: Ledger
     discovery: DiscoveryClient
     instances: Instances
-    clients: ServiceClient
+    clients: Downstream
     host: Host
     metrics: Metrics
     other: tuple[int, int] | None = None  # descriptors and bytes that another process of the dispatcher holds
@@ -134,7 +134,7 @@
             discovery.load_known(config.known)
         except ValueError as exc:
             raise ConfigError(f"known: {exc}") from None
-    clients = ServiceClient(
+    clients = Downstream(
         loop,
         pool,
         ledger,
--- a/pulleyroute/grpc/__init__.py
+++ b/pulleyroute/grpc/__init__.py
@@ -1,6 +1,6 @@
-"""gRPC between service clients and instances: calls pass as they are, the decisions are the dispatcher's own.
+"""gRPC between clients and instances: calls pass as they are, the decisions are the dispatcher's own.
 
-`Front` accepts connections of service clients, `Calls` holds those to instances; both stand on `net.http2`.
+`Front` accepts client connections, `Calls` holds those to instances; both stand on `net.http2`.
 Needs the extra `grpc` (h2, protobuf).
 """
 
--- a/pulleyroute/grpc/front.py
+++ b/pulleyroute/grpc/front.py
@@ -1,4 +1,4 @@
-"""The service client's side of gRPC: listener, connections, routing of calls to hosts, health, and the
+"""The downstream side of gRPC: listener, client connections, routing of calls to hosts, health, and the
 drain."""
 
 from __future__ import annotations
--- a/pulleyroute/net/service_client.py
+++ b/pulleyroute/net/downstream.py
@@ -1,4 +1,4 @@
-"""The service client's side: listener, client connections, `/-/ready`, and the instances' `/callback`."""
+"""Downstream: listener, client connections, `/-/ready`, and the instances' `/callback`."""
 
 from __future__ import annotations
 
@@ -77,7 +77,7 @@
 Line = OrderedDict[Connection, None]  # the first to be shed first
 
 
-class ServiceClient:
+class Downstream:
     """Owns the listener and every accepted connection."""
 
     def __init__(
--- a/pulleyroute/net/handover.py
+++ b/pulleyroute/net/handover.py
@@ -29,10 +29,10 @@
 from loguru import logger
 
 from pulleyroute.net.discovery import DiscoveryClient
+from pulleyroute.net.downstream import Downstream, read_call
 from pulleyroute.net.host import Call, Host
 from pulleyroute.net.lifecycle import Phase
 from pulleyroute.net.loop import READABLE, WRITABLE, Coroutine, Loop, Task, Wait
-from pulleyroute.net.service_client import ServiceClient, read_call
 
 VERSION = 1
 LARGEST = 180 * 1024  # of a message: a body of 64 KiB and a head, within what a socket's buffer takes
@@ -176,7 +176,7 @@
         self,
         loop: Loop,
         path: str,
-        clients: ServiceClient,
+        clients: Downstream,
         host: Host,
         discovery: DiscoveryClient,
         budgets: Budgets,
--- a/pulleyroute/service/assembly.py
+++ b/pulleyroute/service/assembly.py
@@ -22,6 +22,7 @@
 from pulleyroute.interface import Settings, WorkerId
 from pulleyroute.net.buffers import BufferPool, Ledger
 from pulleyroute.net.discovery import DiscoveryClient
+from pulleyroute.net.downstream import Downstream
 from pulleyroute.net.http2 import Limits
 from pulleyroute.net.instance import Instances
 from pulleyroute.net.lifecycle import Lifecycle, Phase
@@ -29,7 +30,6 @@
 from pulleyroute.net.management import DESCRIPTORS, Management, verbs
 from pulleyroute.net.metrics import Ended, Gauges, Metrics
 from pulleyroute.net.process import descriptors
-from pulleyroute.net.service_client import ServiceClient
 from pulleyroute.net.tls import Files, client_context, server_context
 from pulleyroute.service.changes import Plan, plan
 from pulleyroute.service.withheld import FleetHost, Withheld
@@ -70,7 +70,7 @@
         self.config: Config | None = None
         self.pools: dict[str, Running] = {}
         self.fronts: dict[str, Front] = {}
-        self.clients: dict[str, ServiceClient] = {}
+        self.clients: dict[str, Downstream] = {}
         self._retired: list[Running] = []
         self._leaving: list[Front] = []
         self._routes: Routes[Target] = Routes([])
@@ -197,7 +197,7 @@
             pools[name] = self._pool(config, config.pool[name], client.get(name))
         routes = self._route(config, pools)
         fronts: dict[str, Front] = {}
-        clients: dict[str, ServiceClient] = {}
+        clients: dict[str, Downstream] = {}
         try:
             for name in made.new_listeners:
                 self._listen(name, config.listener[name], pools, routes, server.get(name), fronts, clients)
@@ -335,7 +335,7 @@
         routes: Routes[Target],
         context: ssl.SSLContext | None,
         fronts: dict[str, Front],
-        clients: dict[str, ServiceClient],
+        clients: dict[str, Downstream],
     ) -> None:
         if listener.protocol == "grpc":
             front = Front(
@@ -354,7 +354,7 @@
         running = pools[listener.pool]
         limits = listener.limits or ListenerLimits()
         most = min(limits.connections, int(self._budget * (1 - INSTANCE_SHARE)))
-        each = ServiceClient(
+        each = Downstream(
             self._loop,
             self._buffers,
             self._ledger,
--- a/tests/net/scene.py
+++ b/tests/net/scene.py
@@ -13,12 +13,12 @@
 from pulleyroute.interface import Settings
 from pulleyroute.net.buffers import BufferPool, Ledger
 from pulleyroute.net.discovery import DiscoveryClient
+from pulleyroute.net.downstream import Downstream
 from pulleyroute.net.host import Host
 from pulleyroute.net.instance import Instances
 from pulleyroute.net.loop import Loop
 from pulleyroute.net.management import Management, verbs
 from pulleyroute.net.metrics import Metrics
-from pulleyroute.net.service_client import ServiceClient
 from pulleyroute.settings import read_settings
 
 MS = 1000
@@ -184,7 +184,7 @@
         self.runners = beside.runners if beside else {f"s-{i}": Listener(self.loop) for i in range(instances)}
         self.discovery.load_known(self.table(*self.runners))
         self.ledger = Ledger(1024 * 1024)
-        self.clients = ServiceClient(
+        self.clients = Downstream(
             self.loop, pool, self.ledger, self.host, self.settings, most, most_jobs, self.metrics
         )
         self.parts = Parts(
--- a/tests/net/test_service_client.py
+++ b/tests/net/test_downstream.py
@@ -1,4 +1,4 @@
-"""The service client's side: bad input, limits, stopping."""
+"""Downstream: bad input, limits, stopping."""
 
 from contextlib import suppress
 
@@ -6,8 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from pulleyroute.net.downstream import read_call, read_labels, read_request
 from pulleyroute.net.http import Malformed, Message
-from pulleyroute.net.service_client import read_call, read_labels, read_request
 from pulleyroute.settings import read_settings
 from tests.net.scene import INFO, READY, SECOND, Scene
 
--- a/tests/net/test_handover.py
+++ b/tests/net/test_handover.py
@@ -9,10 +9,10 @@
 from hypothesis import strategies as st
 
 from pulleyroute import recall
+from pulleyroute.net.downstream import Downstream
 from pulleyroute.net.handover import STATE_TIME, Handover, Link, Unreadable, inherited, pack, place, unpack
 from pulleyroute.net.lifecycle import Phase
 from pulleyroute.net.loop import Task
-from pulleyroute.net.service_client import ServiceClient
 from tests.net.scene import READY, SECOND, TAKEN, Scene, callback
 
 
@@ -181,7 +181,7 @@
 def test_a_job_that_is_there_twice_has_one_attempt_and_each_client_an_answer(old):
     client, instance, _ = open_job(old, "/charge", "t1")
     new = old.next(listens=False)
-    receive = ServiceClient.receive
+    receive = Downstream.receive
 
     def late(clients, *more):  # somebody takes the id at the last moment
         other.append(new.ask("/charge", "t1"))
@@ -190,7 +190,7 @@
 
     other = []
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(ServiceClient, "receive", late)
+        patch.setattr(Downstream, "receive", late)
         new.serve()
         passing(old, lambda: other)
         assert b" 502 " in client.message()[0]
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -158,7 +158,7 @@
                 "net.moderation",
                 "net.discovery",
                 "net.process",
-                "net.service_client",
+                "net.downstream",
             )
         ),
     }
