--- a/pulleyroute/net/floods.py
+++ b/pulleyroute/net/flood_limits.py
@@ -31,7 +31,7 @@
 }
 
 
-class Floods:
+class FloodLimits:
     """One connection's buckets. Times are microseconds of the caller's clock."""
 
     __slots__ = ("_allowed", "_left")
--- a/pulleyroute/net/http2.py
+++ b/pulleyroute/net/http2.py
@@ -27,10 +27,10 @@
 from hyperframe.frame import Frame, GoAwayFrame, RstStreamFrame
 
 from pulleyroute.net.buffers import BufferPool
-from pulleyroute.net.floods import Floods
-from pulleyroute.net.frames import LARGEST_INCREMENT, Merger, TooLong, data_frame, frame_of
-from pulleyroute.net.heads import PlainEncoder
+from pulleyroute.net.flood_limits import FloodLimits
+from pulleyroute.net.header_encoding import PlainEncoder
 from pulleyroute.net.http import Broken, Headers
+from pulleyroute.net.http2_frames import LARGEST_INCREMENT, Merger, TooLong, data_frame, frame_of
 from pulleyroute.net.loop import READABLE, WRITABLE, Coroutine, Loop, Task, Timer, Wait, Woken
 from pulleyroute.net.tls import Tls
 
@@ -250,7 +250,7 @@
         self._server = server
         self._opened = opened
         self._gone = gone
-        self._floods = Floods()
+        self._flood_limits = FloodLimits()
         self._h2 = GracefulConnection(
             h2.config.H2Configuration(
                 client_side=not server,
@@ -585,7 +585,7 @@
                 return
 
     def _count(self, kind: str) -> None:
-        if self._server and not self._floods.take(kind, self._loop.now()):
+        if self._server and not self._flood_limits.take(kind, self._loop.now()):
             raise Calm(f"{FLOOD}: {kind}")
 
     def _take(self, data: bytes) -> None:
@@ -612,7 +612,7 @@
                     handler(self, event)
                 if self.closed:
                     return
-        self._loop.moderation.note(plain)
+        self._loop.wakeup_pacing.note(plain)
 
     def _plain_data(self, number: int, body: bytes) -> bool:
         """DATA on a stream that surely may get it, past h2's frames and events; False leaves it to h2.
--- a/pulleyroute/net/frames.py
+++ b/pulleyroute/net/http2_frames.py
@@ -31,7 +31,7 @@
     """One direction of one connection. Holds at most one frame that has not come whole.
 
     `most`: bytes of a frame's body; `preface`: the peer is a client and speaks first; `count` hears the kind
-    of each frame that costs its sender nothing, as `floods` names them.
+    of each frame that costs its sender nothing, as `flood_limits` names them.
     """
 
     __slots__ = ("_count", "_data", "_preface", "_rest", "_windows", "most")
--- a/pulleyroute/net/loop.py
+++ b/pulleyroute/net/loop.py
@@ -15,7 +15,7 @@
 from enum import Enum
 from typing import Any, TypeVar
 
-from pulleyroute.net.moderation import Moderation
+from pulleyroute.net.wakeup_pacing import WakeupPacing
 
 T = TypeVar("T")
 
@@ -194,7 +194,7 @@
         self._timers: list[tuple[int, int, Timer]] = []
         self._timer_count = 0
         self._cancelled = 0
-        self.moderation = Moderation()
+        self.wakeup_pacing = WakeupPacing()
 
     def now(self) -> int:
         return time.monotonic_ns() // 1000
@@ -251,8 +251,8 @@
 
     def turn(self, longest: float = 1.0) -> None:
         """Run what is due, waiting at most `longest` seconds for something to come."""
-        if self.moderation.span and not self._queue:
-            rest = self.moderation.rest(self.now())
+        if self.wakeup_pacing.span and not self._queue:
+            rest = self.wakeup_pacing.rest(self.now())
             if rest:
                 time.sleep(rest / 1e6)
         for fd, _ in self._poll.poll(0 if self._queue else self._span(longest), EVENTS_A_TURN):
--- a/pulleyroute/net/moderation.py
+++ b/pulleyroute/net/wakeup_pacing.py
@@ -12,7 +12,7 @@
 ROW = 16  # so many of them before the first rest
 
 
-class Moderation:
+class WakeupPacing:
     """One loop's. `span`: microseconds of a rest; 0 for never."""
 
     __slots__ = ("_last", "_other", "_plain", "_row", "span")
--- a/pulleyroute/service/assembly.py
+++ b/pulleyroute/service/assembly.py
@@ -84,7 +84,7 @@
         self._lifecycle = Lifecycle()
         self.status = 0  # that the process is to end with
         self.moved: Callable[[], None] = lambda: None  # hears of each change of phase
-        loop.moderation.span = limits.rest if limits is not None else 50
+        loop.wakeup_pacing.span = limits.rest if limits is not None else 50
         self._ledger = Ledger(int(memory * READ_SHARE))
         self.apply(config)
         if config.management is not None:
--- a/tests/grpc/test_floods.py
+++ b/tests/grpc/test_floods.py
@@ -15,7 +15,7 @@
 
 from pulleyroute.grpc import FrontLimits, Status
 from pulleyroute.grpc.messages import framed
-from pulleyroute.net.floods import ALLOWED, Allowance
+from pulleyroute.net.flood_limits import ALLOWED, Allowance
 from pulleyroute.net.http2 import HANDSHAKE_TIME, Limits
 from tests.grpc.scene import Scene
 from tests.net.scene import SECOND
--- a/tests/grpc/test_pure.py
+++ b/tests/grpc/test_pure.py
@@ -19,7 +19,7 @@
 from pulleyroute.grpc.routes import Match, Routes
 from pulleyroute.grpc.status import Status, from_http, from_reset, quote, read_status, unquote
 from pulleyroute.interface import Outcome
-from pulleyroute.net.floods import ALLOWED, Floods
+from pulleyroute.net.flood_limits import ALLOWED, FloodLimits
 from pulleyroute.net.host import Ending
 
 GOOD = [
@@ -244,9 +244,9 @@
 
 @pytest.mark.parametrize("kind", list(ALLOWED))
 def test_a_flood_is_one_that_lasts_beyond_its_burst(kind):
-    floods, burst = Floods(), int(ALLOWED[kind].burst)
-    assert all(floods.take(kind, 0) for _ in range(burst)) and not floods.take(kind, 0)
-    assert floods.take(kind, 10_000_000) and Floods().take("unknown", 0)
+    limits, burst = FloodLimits(), int(ALLOWED[kind].burst)
+    assert all(limits.take(kind, 0) for _ in range(burst)) and not limits.take(kind, 0)
+    assert limits.take(kind, 10_000_000) and FloodLimits().take("unknown", 0)
 
 
 def test_advice_is_rounded_up_so_that_nobody_comes_early():
--- a/tests/net/test_frames.py
+++ b/tests/net/test_http2_frames.py
@@ -8,9 +8,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pulleyroute.net.frames import Merger, TooLong, data_frame, frame_of
-from pulleyroute.net.heads import KEPT, PlainEncoder
-from pulleyroute.net.moderation import CLOSE, ROW, Moderation
+from pulleyroute.net.header_encoding import KEPT, PlainEncoder
+from pulleyroute.net.http2_frames import Merger, TooLong, data_frame, frame_of
+from pulleyroute.net.wakeup_pacing import CLOSE, ROW, WakeupPacing
 
 OPEN = [(":method", "POST"), (":scheme", "http"), (":path", "/a.B/C"), (":authority", "x")]
 STEPS = st.lists(
@@ -133,19 +133,19 @@
 
 
 def test_rests_come_only_in_a_row_of_close_wake_ups_for_stream_data_alone():
-    def rests(moderation, count, gap, other=None):
+    def rests(pacing, count, gap, other=None):
         found, now = [], 0
         for i in range(count):
-            moderation.note(True)
+            pacing.note(True)
             if i == other:
-                moderation.note(False)
-            found.append(moderation.rest(now))
+                pacing.note(False)
+            found.append(pacing.rest(now))
             now += gap + found[-1]
         return found
 
-    assert rests(Moderation(50), ROW + 3, 40) == [0] * (ROW - 1) + [50] * 4
-    assert not any(rests(Moderation(50), 100, CLOSE))  # one message and its answer: never held up
-    assert not any(rests(Moderation(0), 100, 40))
-    assert rests(Moderation(50), 2 * ROW + 4, 40, other=ROW + 1)[ROW : ROW + 3] == [50, 0, 0]
-    quiet = Moderation(50)
+    assert rests(WakeupPacing(50), ROW + 3, 40) == [0] * (ROW - 1) + [50] * 4
+    assert not any(rests(WakeupPacing(50), 100, CLOSE))  # one message and its answer: never held up
+    assert not any(rests(WakeupPacing(0), 100, 40))
+    assert rests(WakeupPacing(50), 2 * ROW + 4, 40, other=ROW + 1)[ROW : ROW + 3] == [50, 0, 0]
+    quiet = WakeupPacing(50)
     assert [quiet.rest(i) for i in range(100)] == [0] * 100  # wake-ups for anything else
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -155,7 +155,7 @@
                 "net.listener",
                 "net.log",
                 "net.loop",
-                "net.moderation",
+                "net.wakeup_pacing",
                 "net.discovery",
                 "net.process",
                 "net.downstream",
