--- a/pulleyroute/net/host.py
+++ b/pulleyroute/net/host.py
@@ -14,7 +14,7 @@
 from loguru import logger
 
 from pulleyroute import interface as api
-from pulleyroute import recall
+from pulleyroute import snapshot
 from pulleyroute.interface import Effect, JobClass, Outcome, Scope, Settings, WorkerId
 from pulleyroute.net import log
 from pulleyroute.net.discovery import DiscoveryClient
@@ -341,14 +341,14 @@
     def knowledge(self) -> list[dict[str, Any]]:
         """What the decisions know: in general, then of each instance."""
         rules = self._dispatcher
-        return [recall.knowledge(rules), *map(recall.worker, rules.workers.values())]
+        return [snapshot.knowledge(rules), *map(snapshot.worker, rules.workers.values())]
 
     def learn(self, values: dict[str, Any], shift: int) -> None:
         """Take over one item of another's knowledge; `shift` turns its clock into this one."""
         if "id" in values:
-            recall.learn_worker(self._dispatcher, values, shift)
+            snapshot.learn_worker(self._dispatcher, values, shift)
         else:
-            recall.learn(self._dispatcher, values)
+            snapshot.learn(self._dispatcher, values)
 
     def movable(self, job: Job) -> bool:
         """Whether all that is out for it is with the instances, and nothing hangs on this process's
@@ -377,9 +377,9 @@
             "is_repeat": request.is_repeat,
             "deadline": job.deadline,
             "taken": job.taken,
-            "cls": recall.pack_class(job.cls),
+            "cls": snapshot.pack_class(job.cls),
             "most": job.most,
-            "rules": recall.job(self._dispatcher, job.number),
+            "rules": snapshot.job(self._dispatcher, job.number),
             "executions": [
                 {
                     "instance": e.instance.decode(),
@@ -420,7 +420,7 @@
             values["is_repeat"],
         )
         self._count += 1
-        cls = recall.unpack_class(values["cls"])
+        cls = snapshot.unpack_class(values["cls"])
         job = Job(
             self._count,
             request,
@@ -443,7 +443,7 @@
             self._arm(attempt)
         if values["rules"] is not None:
             self._carry_out(
-                recall.learn_job(
+                snapshot.learn_job(
                     self._dispatcher, self._loop.now(), job.number, cls, job.most, values["rules"], shift
                 )
             )
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -150,7 +150,7 @@
                 "net.handover",
                 "net.http",
                 "net.management",
-                "recall",
+                "snapshot",
                 "net.instance",
                 "net.listener",
                 "net.log",
