Call the operators' listener the admin listener, in code, tests and documents

Need: "door" stood for three things: the operators' listener, the socket by which a new process finds the old one, and the addresses of the emulator's instances.

Behaviour is unchanged but for words: `pulleyroute demo` prints "the admin listener said", and a coroutine of the emulator is called "listener" in its errors. `management`, PROXY_MANAGEMENT, the log events, and the name "hand-over door" that a log line may show stay. No assertion changed; one test's name follows (test_the_admin_listener_shows_calls_and_moves_health_and_job_listeners).

Not renamed: "nack" and "turned away". Beside `Rejected` and Ending.REJECTED, an instance that can't use the request, "rejected" would have two meanings in net/ and grpc/; `nacked` is also a name in what passes between two processes, and X-Turned-Away one of the wire.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	$(BIN)/python -m benchmarks.grpc_memory
 	$(BIN)/python -m benchmarks.grpc_matrix
 	$(BIN)/python -m benchmarks.grpc_faults
-	$(BIN)/python -m benchmarks.door
+	$(BIN)/python -m benchmarks.admin_listener
 	$(BIN)/python -m benchmarks.upgrade
 
 # The customers of our own making in deploy/sites/ need three files of the bench's kit beside them.
--- a/benchmarks/door.py
+++ b/benchmarks/admin_listener.py
@@ -1,8 +1,8 @@
-"""The operators' door under floods: `python -m benchmarks.door [--write]`. About a minute.
+"""The admin listener under floods: `python -m benchmarks.admin_listener [--write]`. About a minute.
 
-Starts the platform's program on loopback stand-ins with 256 descriptors, and calls its door four times a
-second for `/status` and `/status/metrics` while something floods the rest. What counts is the slowest answer
-of each flood, beside the one at rest in the same run.
+Starts the platform's program on loopback stand-ins with 256 descriptors, and calls its admin listener four
+times a second for `/status` and `/status/metrics` while something floods the rest. What counts is the slowest
+answer of each flood, beside the one at rest in the same run.
 """
 
 from __future__ import annotations
@@ -22,7 +22,7 @@
 from pulleyroute.net.http import parse_address
 
 SECONDS = 6.0  # a flood
-PAUSE = 0.25  # between two looks at the door
+PAUSE = 0.25  # between two looks at it
 DUE = 1.0  # seconds that an answer may take
 CROWD = 40  # callers that stay
 CONNECTIONS = 1500  # on the clients' side, at most
@@ -34,17 +34,17 @@
     wrong: int = 0
 
 
-def look(door: str, path: str, want: tuple[int, ...], looks: Looks) -> None:
+def look(admin: str, path: str, want: tuple[int, ...], looks: Looks) -> None:
     """One call on a connection of its own."""
     began = time.monotonic()
-    looks.wrong += call(door, "GET", path) not in want
+    looks.wrong += call(admin, "GET", path) not in want
     looks.took.append(time.monotonic() - began)
 
 
 def under(
-    door: str, flood: Callable[[threading.Event], None], threads: int, want: tuple[int, ...] = (200,)
+    admin: str, flood: Callable[[threading.Event], None], threads: int, want: tuple[int, ...] = (200,)
 ) -> Looks:
-    """The door's answers while so many threads flood."""
+    """The admin listener's answers while so many threads flood."""
     over, looks = threading.Event(), Looks()
     at_work = [threading.Thread(target=flood, args=(over,), daemon=True) for _ in range(threads)]
     for thread in at_work:
@@ -52,8 +52,8 @@
     time.sleep(0.5)
     end = time.monotonic() + SECONDS
     while time.monotonic() < end:
-        look(door, "/status", want, looks)
-        look(door, "/status/metrics", (200,), looks)
+        look(admin, "/status", want, looks)
+        look(admin, "/status/metrics", (200,), looks)
         time.sleep(PAUSE)
     over.set()
     for thread in at_work:
@@ -100,7 +100,7 @@
     rows: list[tuple[str, Looks]] = []
     with world(PROGRAM, 8, 20, slots=8, mean_ms=40) as at:
         clients = at.platform.address
-        program, door = at.platform.processes[-1]
+        program, admin = at.platform.processes[-1]
         half = b"GET /status HTT"
 
         def reloads(over: threading.Event) -> None:
@@ -109,17 +109,17 @@
 
         floods: list[tuple[str, Callable[[threading.Event], None], int]] = [
             ("at rest", lambda over: None, 0),
-            (f"{CROWD} callers at the door that send nothing", holding(door, b"", CROWD, 4), 1),
-            (f"{CROWD} callers at the door with half a call", holding(door, half, CROWD, 4), 1),
+            (f"{CROWD} callers at the admin listener that send nothing", holding(admin, b"", CROWD, 4), 1),
+            (f"{CROWD} callers at the admin listener with half a call", holding(admin, half, CROWD, 4), 1),
             (f"{CONNECTIONS} silent connections of clients", holding(clients, b"", CONNECTIONS, 4), 1),
             ("8 clients that ask for nothing at full speed", asking(clients), 8),
             ("20 reloads a second", reloads, 1),
         ]
         for name, flood, threads in floods:
-            rows.append((name, under(door, flood, threads)))
-        call(door, "POST", "/standby")
+            rows.append((name, under(admin, flood, threads)))
+        call(admin, "POST", "/standby")
         rows.append(
-            ("a drain, with silent connections", under(door, holding(clients, b"", CONNECTIONS, 4), 1))
+            ("a drain, with silent connections", under(admin, holding(clients, b"", CONNECTIONS, 4), 1))
         )
     rest = max(rows[0][1].took)
     lines = [
@@ -133,12 +133,12 @@
     ]
     print("\n".join(lines))
     if "--write" in sys.argv:
-        Path("docs/measured/door.md").write_text(
+        Path("docs/measured/admin_listener.md").write_text(
             "\n".join(
                 [
-                    "# The operators' door under floods",
+                    "# The admin listener under floods",
                     "",
-                    "Command: `python -m benchmarks.door --write`. 256 descriptors; 8 clients with",
+                    "Command: `python -m benchmarks.admin_listener --write`. 256 descriptors; 8 clients with",
                     "jobs go on all",
                     "the while. An answer is due within 1000 ms.",
                     "",
--- a/pulleyroute/__main__.py
+++ b/pulleyroute/__main__.py
@@ -62,7 +62,7 @@
     metrics: Metrics
     other: tuple[int, int] | None = None  # descriptors and bytes that another process of the dispatcher holds
 
-    # For the operators' door
+    # For the admin listener
 
     @property
     def phase(self) -> Phase:
@@ -168,7 +168,7 @@
 
 
 def aside(config: Config) -> int:
-    """How many descriptors are for the process itself and the operators' door."""
+    """How many descriptors are for the process itself and the admin listener."""
     return RESERVE + (DESCRIPTORS if config.management is not None else 0)
 
 
--- a/pulleyroute/cli/demo.py
+++ b/pulleyroute/cli/demo.py
@@ -78,7 +78,7 @@
             )
         console.print(table)
         shown = ", ".join(f"{name.removeprefix('app.')} {value}" for name, value in result.metrics.items())
-        console.print(f"the operators' door said: {shown}", highlight=False)
+        console.print(f"the admin listener said: {shown}", highlight=False)
         console.print(f"rules broken: {len(result.broken)}", style="red" if result.broken else "green")
         for line in result.broken[:10]:
             console.print(f"  {line}")
--- a/pulleyroute/cli/emulate.py
+++ b/pulleyroute/cli/emulate.py
@@ -75,7 +75,7 @@
     seed: Annotated[int, typer.Option(min=0, help="Of the running times.")] = 0,
     book: Annotated[Path | None, typer.Option(help="Write starts and ends of jobs into this file.")] = None,
 ) -> None:
-    """A job box. Prints the addresses of its doors, one for each call-back's dispatcher, as one JSON list."""
+    """A job box. Prints its addresses, one for each call-back's dispatcher, as one JSON list."""
     from pulleyroute.emulator.runner import Runner
     from pulleyroute.net.loop import Loop
     from pulleyroute.net.process import on_error
@@ -83,4 +83,4 @@
     places = [_loopback(each) for each in callback]
     loop = Loop(on_error)
     box = Runner(loop, name, places, slots, mean_ms * 1000, seed, book)
-    _run(loop, json.dumps(box.doors))
+    _run(loop, json.dumps(box.addresses))
--- a/pulleyroute/config/types.py
+++ b/pulleyroute/config/types.py
@@ -252,7 +252,7 @@
     seed: Annotated[int, Meta(ge=0)] | None = None
     log: Log | None = None
     limits: ProcessLimits | None = None
-    management: Annotated[tuple[str, int] | None, At()] = None  # the operators' door
+    management: Annotated[tuple[str, int] | None, At()] = None  # the admin listener
     listener: dict[str, Listener]
     pool: dict[str, Pool]
     job_class: dict[str, JobClass]
--- a/pulleyroute/emulator/runner.py
+++ b/pulleyroute/emulator/runner.py
@@ -1,7 +1,8 @@
 """A job box on the loop, as a process of its own: takes, runs, calls back, and writes down what it saw.
 
-It has a door for each dispatcher, since a job's end is told to the one that sent it. Each line of its book is
-one JSON object with the time of the machine's monotonic clock in microseconds: `start` and `end` of a job.
+It has a listener for each dispatcher, since a job's end is told to the one that sent it. Each line of its
+book is one JSON object with the time of the machine's monotonic clock in microseconds: `start` and `end` of a
+job.
 """
 
 from __future__ import annotations
@@ -37,7 +38,7 @@
 
 
 class Runner:
-    """Owns the slots, the queue, the doors and the book."""
+    """Owns the slots, the queue, the listeners and the book."""
 
     def __init__(
         self,
@@ -58,12 +59,12 @@
         self._book = (
             os.open(book, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600) if book is not None else None
         )
-        self.doors: list[tuple[str, int]] = []
+        self.addresses: list[tuple[str, int]] = []
         for callback in callbacks:
             sock = socket.create_server(("127.0.0.1", 0), backlog=256)
             sock.setblocking(False)
-            self.doors.append(sock.getsockname())
-            loop.spawn(self._accepting(sock, callback), "door")
+            self.addresses.append(sock.getsockname())
+            loop.spawn(self._accepting(sock, callback), "listener")
 
     def _note(self, what: str, job: Taken) -> None:
         if self._book is not None:
--- a/pulleyroute/fleet/drains.py
+++ b/pulleyroute/fleet/drains.py
@@ -1,7 +1,7 @@
 """When a dispatcher goes out and comes back. Pure: what is known in, the one next step out.
 
 A planned way out begins with a wish (an operator's, a release's), needs a permit, and ends with the permit's
-return by the process that serves again. A way out from outside (SIGTERM, SIGKILL, the operators' door) is
+return by the process that serves again. A way out from outside (SIGTERM, SIGKILL, the admin listener) is
 obeyed at once by whoever gets it, and counted by everybody else.
 """
 
--- a/pulleyroute/lab/demo.py
+++ b/pulleyroute/lab/demo.py
@@ -38,7 +38,7 @@
 }
 CONFIG = """
 name       = "demo"
-management = "{door}"
+management = "{admin}"
 listener "jobs"  {{
   protocol = "jobs"
   address  = "{jobs}"
@@ -102,12 +102,12 @@
     attempts: Counter[str]
     broken: list[str]
     seconds: float
-    metrics: dict[str, int] = field(default_factory=dict)  # what the operators' door said at the end
+    metrics: dict[str, int] = field(default_factory=dict)  # what the admin listener said at the end
 
 
-def metrics(door: str) -> dict[str, int]:
-    """The metrics that a door shows, by name."""
-    with urllib.request.urlopen(f"http://{door}/status/metrics", timeout=10) as answer:
+def metrics(admin: str) -> dict[str, int]:
+    """The metrics that an admin listener shows, by name."""
+    with urllib.request.urlopen(f"http://{admin}/status/metrics", timeout=10) as answer:
         lines = [line.split("|")[0].split(":") for line in answer.read().decode().splitlines()]
     return {name: int(value) for name, value in lines}
 
@@ -139,7 +139,7 @@
     def run(self, tick: Callable[[float, int], None] = lambda share, done: None) -> Result:
         """Play it; `tick` hears the share of the time that is over and how many requests have their
         answer."""
-        jobs, calls, door = (f"127.0.0.1:{free_port()}" for _ in range(3))
+        jobs, calls, admin = (f"127.0.0.1:{free_port()}" for _ in range(3))
         discovery = Discovery()
         boxes = [JobBox(f"box-{i}", self.book, jobs, seed=i) for i in range(4)]
         apps = [CallBox(f"app-{i}", self.book, mean_ms=15) for i in range(3)]
@@ -152,7 +152,7 @@
             )
             path.write_text(
                 CONFIG.format(
-                    jobs=jobs, calls=calls, discovery=discovery.address, door=door, instances=instances
+                    jobs=jobs, calls=calls, discovery=discovery.address, admin=admin, instances=instances
                 )
             )
             log = (Path(folder) / "log").open("wb")
@@ -162,7 +162,7 @@
             try:
                 self._await(program, jobs, Path(folder) / "log")
                 result = self._play(jobs, calls, discovery, boxes, apps, tick)
-                result.metrics = metrics(door)
+                result.metrics = metrics(admin)
                 program.send_signal(signal.SIGTERM)
                 with contextlib.suppress(subprocess.TimeoutExpired):
                     program.wait(10)
--- a/pulleyroute/lab/fleet/rig.py
+++ b/pulleyroute/lab/fleet/rig.py
@@ -215,7 +215,7 @@
         process = self._process(command, "runners.err", says=True)
         self._runners.append(process)
         assert process.stdout is not None
-        return [tuple(door) for door in json.loads(process.stdout.readline())]
+        return [tuple(address) for address in json.loads(process.stdout.readline())]
 
     def _configure(self, member: Member) -> Path:
         shape, works = self._shape, not member.version.endswith("errs")
@@ -602,10 +602,10 @@
         store, shape = self._store, self._shape
         assert store is not None and store.stdout is not None
         store.stdout.readline()
-        doors = [self._start_runner(number) for number in range(shape.runners)]
+        addresses = [self._start_runner(number) for number in range(shape.runners)]
         for member in self.members:
             for number in range(shape.runners):
-                link = Link(self.loop, doors[number][member.number])
+                link = Link(self.loop, addresses[number][member.number])
                 member.runners.append(link)
                 self._links.append(link)
             self.start_member(member)
--- a/pulleyroute/lab/upgrade.py
+++ b/pulleyroute/lab/upgrade.py
@@ -1,7 +1,7 @@
 """Upgrades under load on loopback stand-ins: the platform, clients that keep their connections, a verdict.
 
 The platform holds the clients' listening socket and starts the real program beside itself, again and again;
-the old process gets SIGTERM when the new one says yes at its door. The referee sees one dispatcher.
+the old process gets SIGTERM when the new one says yes at its admin listener. The referee sees one dispatcher.
 """
 
 from __future__ import annotations
@@ -116,21 +116,21 @@
         self._config.write_text(json.dumps(config(discovery, self.address, give_up)))
 
     def start(self) -> None:
-        """One more process; returns once it says yes at its door."""
-        door = f"127.0.0.1:{free_port()}"
+        """One more process; returns once it says yes at its admin listener."""
+        admin = f"127.0.0.1:{free_port()}"
         number = self.sock.fileno()
         env = {
             **os.environ,
             "PROXY_CONFIG": str(self._config),
             "PROXY_FD": str(number),
-            "PROXY_MANAGEMENT": door,
+            "PROXY_MANAGEMENT": admin,
             "TMPDIR": str(self._folder),
         }
         with (self._folder / "log").open("ab") as log:
             process = subprocess.Popen(self._program, env=env, stderr=log, pass_fds=[number])
-        self.processes.append((process, door))
+        self.processes.append((process, admin))
         end = time.monotonic() + PATIENCE
-        while call(door, "GET", "/status") != 200:
+        while call(admin, "GET", "/status") != 200:
             if process.poll() is not None or time.monotonic() > end:
                 raise RuntimeError(f"it did not start: {(self._folder / 'log').read_text()[-800:]}")
             time.sleep(0.02)
--- a/pulleyroute/net/config.py
+++ b/pulleyroute/net/config.py
@@ -32,7 +32,7 @@
     memory_mb: int
     known: Any  # the list of instances as last held, in discovery's form; None if there is none
     settings: Settings
-    management: tuple[str, int] | None  # the operators' door; None for none
+    management: tuple[str, int] | None  # the admin listener; None for none
     shape: Shape  # the keys that the file has
 
 
--- a/pulleyroute/net/handover.py
+++ b/pulleyroute/net/handover.py
@@ -185,7 +185,7 @@
         self._loop, self._clients, self._host, self._discovery = loop, clients, host, discovery
         self._budgets = budgets
         self._path = path
-        self._door: socket.socket | None = None
+        self._socket: socket.socket | None = None
         self._knocking: Task | None = None
         self._before: Link | None = None
         self._after: Link | None = None
@@ -221,7 +221,7 @@
         self._clients.lifecycle.serve()
         if phase is Phase.STANDBY:
             self._clients.standby()
-        self.open_door()
+        self.open_meeting_place()
         if self._before is not None:
             self._before.send("serving", {})
         logger.bind(event="serving").info("taking clients{}", "" if self._before is None else ", taken over")
@@ -291,40 +291,40 @@
 
     # The old process
 
-    def open_door(self) -> None:
+    def open_meeting_place(self) -> None:
         """Be found by the next process; without it one that comes starts alone."""
         try:
-            self._door = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-            self._door.setblocking(False)
+            self._socket = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+            self._socket.setblocking(False)
             fresh = f"{self._path}.{os.getpid()}"
             with contextlib.suppress(FileNotFoundError):
                 os.unlink(fresh)
-            self._door.bind(fresh)
+            self._socket.bind(fresh)
             os.chmod(fresh, 0o600)
-            self._door.listen(4)
+            self._socket.listen(4)
             os.rename(fresh, self._path)  # in one step: there is always somebody, or a stale file
         except OSError as exc:
             # Normal where Unix sockets are refused or the folder is not writable.
             logger.bind(event="handover.none").warning("hand-over: no meeting place: {}", exc)
-            self._close_door()
+            self._close_meeting_place()
             return
-        self._knocking = self._loop.spawn(self._welcoming(self._door), "hand-over door")
+        self._knocking = self._loop.spawn(self._welcoming(self._socket), "hand-over door")
 
-    def _close_door(self) -> None:
+    def _close_meeting_place(self) -> None:
         if self._knocking is not None:
             self._knocking.cancel()
             self._knocking = None
-        if self._door is not None:
-            self._loop.forget(self._door.fileno())
-            self._door.close()
-            self._door = None
+        if self._socket is not None:
+            self._loop.forget(self._socket.fileno())
+            self._socket.close()
+            self._socket = None
 
-    def _welcoming(self, door: socket.socket) -> Coroutine[None]:
+    def _welcoming(self, listening: socket.socket) -> Coroutine[None]:
         while True:
             try:
-                sock, _ = door.accept()
+                sock, _ = listening.accept()
             except (BlockingIOError, InterruptedError):
-                yield Wait(door.fileno(), READABLE)
+                yield Wait(listening.fileno(), READABLE)
                 continue
             except OSError as exc:
                 logger.bind(event="handover.none").warning("hand-over: cannot be met: {}", exc)
@@ -372,7 +372,7 @@
         logger.bind(event="handover.begun").info("hand-over: another process takes the clients")
         self._after = link
         link.gone = self._taken_back
-        self._close_door()
+        self._close_meeting_place()
         self._clients.hand(lambda values, body, fd: link.send("connection", values, body, fd))
         self._loop.spawn(self._sharing(link), "hand-over shares")
 
@@ -388,7 +388,7 @@
         self._after = None
         self._clients.resume()
         if self._clients.lifecycle.takes_clients:
-            self.open_door()
+            self.open_meeting_place()
 
     # Call-backs
 
--- a/pulleyroute/net/management.py
+++ b/pulleyroute/net/management.py
@@ -1,4 +1,4 @@
-"""The operators' door: HTTP/1.1 with one call a connection, on an address and descriptors of its own."""
+"""The admin listener: HTTP/1.1 with one call a connection, on an address and descriptors of its own."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
 
 class Management:
-    """Owns the door's listener and its callers' connections."""
+    """Owns the admin listener and its callers' connections."""
 
     def __init__(self, loop: Loop, pool: BufferPool, verbs: Verbs) -> None:
         self._loop, self._pool, self._verbs = loop, pool, verbs
@@ -37,7 +37,7 @@
         self.listener = Listener(loop, "management", self._room, self._shed, self._welcome)
 
     def listen(self, address: tuple[str, int]) -> None:
-        """Open the door; raises OSError where the address can't be had."""
+        """Open the listener; raises OSError where the address can't be had."""
         self.listener.listen(address)
 
     def _room(self) -> bool:
--- a/pulleyroute/service/assembly.py
+++ b/pulleyroute/service/assembly.py
@@ -96,7 +96,7 @@
                 ) from None
         self._lifecycle.serve()
 
-    # For the operators' door
+    # For the admin listener
 
     @property
     def phase(self) -> Phase:
--- a/tests/net/scene.py
+++ b/tests/net/scene.py
@@ -153,7 +153,7 @@
         return self.untouched_now()
 
     def untouched_now(self) -> bool:
-        """Whether nobody stands at the door; who does stays there."""
+        """Whether nobody waits to be accepted; who does stays there."""
         return not select.select([self.sock], [], [], 0)[0]
 
 
@@ -190,8 +190,8 @@
         self.parts = Parts(
             None, self.ledger, self.discovery, self.instances, self.clients, self.host, self.metrics
         )
-        self.door = Management(self.loop, pool, verbs(self.parts))
-        self.door.listen(("127.0.0.1", 0))
+        self.admin = Management(self.loop, pool, verbs(self.parts))
+        self.admin.listen(("127.0.0.1", 0))
         Scene.made.append(self)
         if listens:
             self.serve()
@@ -254,12 +254,12 @@
         return attempt.instance.decode(), peer
 
     def operator(self, data: bytes = b"") -> Peer:
-        peer = Peer(self.loop, socket.create_connection(self.door.listener.address))
+        peer = Peer(self.loop, socket.create_connection(self.admin.listener.address))
         peer.send(data)
         return peer
 
     def operate(self, method: str, path: str) -> tuple[int, bytes]:
-        return operate(self.loop, self.door.listener.address, method, path)
+        return operate(self.loop, self.admin.listener.address, method, path)
 
     def shown(self) -> dict[str, int]:
         """The metrics, less those that are 0."""
@@ -295,9 +295,9 @@
         return status
 
 
-def operate(loop: StillLoop, door: tuple[str, int], method: str, path: str) -> tuple[int, bytes]:
+def operate(loop: StillLoop, admin: tuple[str, int], method: str, path: str) -> tuple[int, bytes]:
     """An operator's call: its status and the body of the answer; then its connection has to end."""
-    peer = Peer(loop, socket.create_connection(door))
+    peer = Peer(loop, socket.create_connection(admin))
     peer.send(f"{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
     head, body = peer.message()
     loop.until(lambda: peer.pull() is not None and peer.ended)
--- a/tests/net/test_deployments.py
+++ b/tests/net/test_deployments.py
@@ -79,9 +79,9 @@
 def test_instances_are_probed_only_where_probes_are_allowed(probes):
     scene = Scene(info=settings(caps={"probes": probes}))
     scene.loop.skip(2 * SECOND)  # with no job: what comes to the instance is a probe
-    door, heads = scene.runners["s-0"], []
-    while not door.untouched():
-        heads.append(door.accept().message()[0])
+    runner, heads = scene.runners["s-0"], []
+    while not runner.untouched():
+        heads.append(runner.accept().message()[0])
     assert bool(heads) is probes and all(head.startswith(b"GET /-/load ") for head in heads)
 
 
--- a/tests/net/test_handover.py
+++ b/tests/net/test_handover.py
@@ -51,7 +51,7 @@
         """As the kernel does it: what it holds is closed, nothing else is said."""
         self.clients.listener.pause()
         self.clients._move = None
-        self.handover._close_door()
+        self.handover._close_meeting_place()
         self.starting.cancel()
         self.host.abandon = lambda job: None
         for connection in list(self.clients._connections):
@@ -340,12 +340,12 @@
 @pytest.mark.parametrize("how", ["stale", "silent", "version", "garbage", "half", "no folder", "nonsense"])
 def test_whatever_is_at_the_meeting_place_the_new_process_serves_in_time(tmp_path, how):
     platform = socket.create_server(("127.0.0.1", 0))
-    door = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-    door.bind(place(str(tmp_path), platform))
+    meeting = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    meeting.bind(place(str(tmp_path), platform))
     if how == "stale":
-        door.close()
+        meeting.close()
     else:
-        door.listen()
+        meeting.listen()
     with platform:
         answer = {
             "version": pack("state", {"version": 99, "now": 1, "last": True}),
@@ -357,12 +357,12 @@
             # What it will say waits in its socket: the new process reads it once it has connected.
             import threading
 
-            threading.Thread(target=lambda: door.accept()[0].send(answer), daemon=True).start()
+            threading.Thread(target=lambda: meeting.accept()[0].send(answer), daemon=True).start()
         folder = tmp_path / "none" if how == "no folder" else tmp_path
         new = Process(folder, platform)
         assert new.loop.time <= 1_000 * SECOND + STATE_TIME + SECOND // 10
         assert new.known() and new.clients.lifecycle.ready
-    door.close()
+    meeting.close()
 
 
 @pytest.mark.parametrize("value", ["", "x", "-1", "2", "999", "1e1", str(10**30), "a file", "not listening"])
--- a/tests/net/test_list_age.py
+++ b/tests/net/test_list_age.py
@@ -39,7 +39,7 @@
         agent.opened(1).send(chunk(b"\n"))
         agent.loop.settle()
         silent = agent.loop.time  # from here on nothing comes, and then s-0 drains
-        while agent.door.untouched_now():
+        while agent.listener.untouched_now():
             agent.loop.skip(20 * MS)
         assert agent.loop.time - silent <= discovery.SILENCE + discovery.FIRST_PAUSE + 20 * MS
         agent.opened(1).send(agent.line("s-0", phase="leaving", complete=False, revision=2))
@@ -144,10 +144,10 @@
     agent = Agent(info={**INFO, "balancers": dispatchers})
     pauses, since = [], agent.loop.time
     for _ in range(12):
-        while agent.door.untouched_now():
+        while agent.listener.untouched_now():
             agent.loop.skip(10 * MS)
         pauses.append(agent.loop.time - since)
-        peer = agent.door.accept()
+        peer = agent.listener.accept()
         peer.message()
         agent.loop.skip(waited)  # it waits for its turn
         peer.send(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
--- a/tests/net/test_management.py
+++ b/tests/net/test_management.py
@@ -1,4 +1,4 @@
-"""The operators' door, and the metrics behind it held against what scripted peers saw."""
+"""The admin listener, and the metrics behind it held against what scripted peers saw."""
 
 import random
 from collections import Counter
@@ -43,7 +43,7 @@
     assert int(peer.message()[0].split()[1]) == status
     scene.loop.until(lambda: peer.pull() is not None and peer.ended)
     scene.loop.skip(SECOND + 10_000)
-    assert scene.clients.lifecycle.ready and not scene.door._count
+    assert scene.clients.lifecycle.ready and not scene.admin._count
 
 
 def test_callers_that_say_nothing_cannot_keep_a_call_out_nor_can_clients():
@@ -55,7 +55,7 @@
     for _ in range(20):  # well under the second that an answer may take
         scene.loop.skip(40_000)
         scene.loop.settle()
-        assert scene.door._count <= CALLERS
+        assert scene.admin._count <= CALLERS
     assert b" 200 " in peer.message()[0]
     for each in crowd + clients:
         each.close()
--- a/tests/net/test_pushed_list.py
+++ b/tests/net/test_pushed_list.py
@@ -24,10 +24,10 @@
         tell = self.scene.discovery.tell
         self.scene.discovery.tell = lambda news: (self.told.append(news.kind), tell(news))
         self.scene.discovery.begin()
-        self.loop, self.door = self.scene.loop, self.scene.discovery_peer
+        self.loop, self.listener = self.scene.loop, self.scene.discovery_peer
 
     def opened(self, since):
-        peer = self.door.accept()
+        peer = self.listener.accept()
         assert b"GET /api/targets?watch=1&from=%d " % since in peer.message()[0]
         peer.send(CHUNKS)
         return peer
@@ -56,13 +56,13 @@
         agent.scene.discovery._random.seed(len(waits))
         agent.scene.discovery.begin()
         start = agent.loop.time
-        while agent.door.untouched_now():
+        while agent.listener.untouched_now():
             agent.loop.skip(10 * MS)
         waits.append(agent.loop.time - start)
         assert waits[-1] <= 2 * SECOND
     assert waits[0] != waits[1]
     agent = Agent()
-    assert not agent.door.untouched()  # an agent serves one process alone: at once
+    assert not agent.listener.untouched()  # an agent serves one process alone: at once
 
 
 def test_a_watch_that_ends_is_opened_anew_at_once_from_where_it_stood():
@@ -83,10 +83,10 @@
     agent = Agent()
     calls = []
     for _ in range(40):
-        agent.door.accept().close()
+        agent.listener.accept().close()
         calls.append(agent.loop.time)
         agent.loop.settle()
-        while agent.door.untouched_now():
+        while agent.listener.untouched_now():
             agent.loop.skip(10 * MS)
             assert agent.loop.time - calls[-1] <= GRACE / 2 + 10 * MS
     assert calls[-1] - calls[0] > 40 * GRACE / 8  # the mean of the draws is a quarter of the grace
@@ -151,7 +151,7 @@
         agent.loop.settle()
         agent.loop.skip(1500 * MS)
     peer.send(agent.line("s-0", "s-1", revision=6))
-    whole = agent.door.accept()
+    whole = agent.listener.accept()
     assert whole.message()[0].startswith(b"GET /api/targets HTTP")
     body = json.dumps(agent.scene.table("s-0", "s-1", revision=6)).encode()
     whole.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
@@ -197,7 +197,7 @@
     agent.loop.until(lambda: agent.ready() == [b"s-1"])
     handover = Handover(
         agent.loop,
-        place("/nowhere", agent.door.sock),
+        place("/nowhere", agent.listener.sock),
         agent.scene.clients,
         agent.scene.host,
         agent.scene.discovery,
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -189,7 +189,7 @@
     assert play.loop.stopped and play.loop.errors == []
 
 
-def test_the_door_shows_calls_and_moves_health_and_job_listeners(tmp_path):
+def test_the_admin_listener_shows_calls_and_moves_health_and_job_listeners(tmp_path):
     play = Play(tmp_path)
     config = play.config()
     with socket.socket() as free:
