--- a/pulleyroute/cli/emulate.py
+++ b/pulleyroute/cli/emulate.py
@@ -82,10 +82,10 @@
     seed: Annotated[int, typer.Option(min=0, help="Of the running times.")] = 0,
     book: Annotated[Path | None, typer.Option(help="Write starts and ends of jobs into this file.")] = None,
 ) -> None:
-    """A job box. Prints the addresses of its doors, one for each call-back's dispatcher, as one JSON list."""
+    """A job box. Prints its addresses, one for each call-back's dispatcher, as one JSON list."""
     from pulleyroute.emulator.runner import Runner
 
     places = [_loopback(each) for each in callback]
     loop = _loop()
     box = Runner(loop, name, places, slots, mean_ms * 1000, seed, book)
-    _run(loop, json.dumps(box.doors))
+    _run(loop, json.dumps(box.addresses))
--- a/pulleyroute/net/handover.py
+++ b/pulleyroute/net/handover.py
@@ -32,10 +32,10 @@
 from loguru import logger
 
 from pulleyroute.net.discovery import DiscoveryClient
-from pulleyroute.net.duty import Phase
+from pulleyroute.net.downstream import Downstream, read_call
 from pulleyroute.net.host import Call, Host
+from pulleyroute.net.lifecycle import Phase
 from pulleyroute.net.loop import READABLE, WRITABLE, Coroutine, Loop, Task, Wait
-from pulleyroute.net.service_client import ServiceClient, read_call
 
 VERSION = 1
 LARGEST = 180 * 1024  # of a message: a body of 64 KiB and a head, within what a socket's buffer takes
@@ -179,7 +179,7 @@
         self,
         loop: Loop,
         path: str,
-        clients: ServiceClient,
+        clients: Downstream,
         host: Host,
         discovery: DiscoveryClient,
         budgets: Budgets,
@@ -188,7 +188,7 @@
         self._loop, self._clients, self._host, self._discovery = loop, clients, host, discovery
         self._budgets = budgets
         self._path = path
-        self._door: socket.socket | None = None
+        self._socket: socket.socket | None = None
         self._knocking: Task | None = None
         self._before: Link | None = None
         self._after: Link | None = None
@@ -218,13 +218,13 @@
 
     def _serve(self, listener: socket.socket, phase: Phase) -> None:
         """Take the clients, in the phase that the old process was in."""
-        if self._clients.duty.phase is Phase.ENDING:
+        if self._clients.lifecycle.phase is Phase.ENDING:
             return  # SIGTERM came first: the old process, if there is one, goes on
         self._clients.listener.listen_on(listener)
-        self._clients.duty.serve()
+        self._clients.lifecycle.serve()
         if phase is Phase.STANDBY:
             self._clients.standby()
-        self.open_door()
+        self.open_meeting_place()
         if self._before is not None:
             self._before.send("serving", {})
         logger.bind(event="serving").info("taking clients{}", "" if self._before is None else ", taken over")
@@ -294,40 +294,40 @@
 
     # The old process
 
-    def open_door(self) -> None:
+    def open_meeting_place(self) -> None:
         """Be found by the next process; without it one that comes starts alone."""
         try:
-            self._door = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-            self._door.setblocking(False)
+            self._socket = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+            self._socket.setblocking(False)
             fresh = f"{self._path}.{os.getpid()}"
             with contextlib.suppress(FileNotFoundError):
                 os.unlink(fresh)
-            self._door.bind(fresh)
+            self._socket.bind(fresh)
             os.chmod(fresh, 0o600)
-            self._door.listen(4)
+            self._socket.listen(4)
             os.rename(fresh, self._path)  # in one step: there is always somebody, or a stale file
         except OSError as exc:
             # Normal where Unix sockets are refused or the folder is not writable.
             logger.bind(event="handover.none").warning("hand-over: no meeting place: {}", exc)
-            self._close_door()
+            self._close_meeting_place()
             return
-        self._knocking = self._loop.spawn(self._welcoming(self._door), "hand-over door")
+        self._knocking = self._loop.spawn(self._welcoming(self._socket), "hand-over door")
 
-    def _close_door(self) -> None:
+    def _close_meeting_place(self) -> None:
         if self._knocking is not None:
             self._knocking.cancel()
             self._knocking = None
-        if self._door is not None:
-            self._loop.forget(self._door.fileno())
-            self._door.close()
-            self._door = None
+        if self._socket is not None:
+            self._loop.forget(self._socket.fileno())
+            self._socket.close()
+            self._socket = None
 
-    def _welcoming(self, door: socket.socket) -> Coroutine[None]:
+    def _welcoming(self, listening: socket.socket) -> Coroutine[None]:
         while True:
             try:
-                sock, _ = door.accept()
+                sock, _ = listening.accept()
             except (BlockingIOError, InterruptedError):
-                yield Wait(door.fileno(), READABLE)
+                yield Wait(listening.fileno(), READABLE)
                 continue
             except OSError as exc:
                 logger.bind(event="handover.none").warning("hand-over: cannot be met: {}", exc)
@@ -356,7 +356,7 @@
         known = self._host.knowledge()
         members = self._discovery.entries()
         usable = self._discovery.freshness.usable
-        parts: list[Values] = [{"phase": self._clients.duty.phase.value, "usable": usable}]
+        parts: list[Values] = [{"phase": self._clients.lifecycle.phase.value, "usable": usable}]
         # The list first: what is known of an instance goes to one that is listed.
         parts += list_messages(self._discovery.version, members)
         parts += [{"known": part} for part in by_size(known)]
@@ -371,7 +371,7 @@
         logger.bind(event="handover.begun").info("hand-over: another process takes the clients")
         self._after = link
         link.gone = self._taken_back
-        self._close_door()
+        self._close_meeting_place()
         self._clients.hand(lambda values, body, fd: link.send("connection", values, body, fd))
         self._loop.spawn(self._sharing(link), "hand-over shares")
 
@@ -386,8 +386,8 @@
         """The new process is gone: unless this one was told to end, it goes on as before."""
         self._after = None
         self._clients.resume()
-        if self._clients.duty.takes_clients:
-            self.open_door()
+        if self._clients.lifecycle.takes_clients:
+            self.open_meeting_place()
 
     # Call-backs
 
--- a/pulleyroute/net/management.py
+++ b/pulleyroute/net/management.py
@@ -1,4 +1,4 @@
-"""The operators' door: HTTP/1.1 with one call a connection, on an address and descriptors of its own."""
+"""The admin listener: HTTP/1.1 with one call a connection, on an address and descriptors of its own."""
 
 from __future__ import annotations
 
@@ -9,11 +9,11 @@
 from loguru import logger
 
 from pulleyroute.net.buffers import BufferPool
-from pulleyroute.net.duty import TAKES_CLIENTS, Phase
-from pulleyroute.net.figures import Figures, Gauges
 from pulleyroute.net.http import Broken, Late, Malformed, Message, Stream
+from pulleyroute.net.lifecycle import TAKES_CLIENTS, Phase
 from pulleyroute.net.listener import Listener
 from pulleyroute.net.loop import Coroutine, Loop, Task
+from pulleyroute.net.metrics import Gauges, Metrics
 
 CALLERS = 24  # connections at once
 DESCRIPTORS = CALLERS + 2  # to be set aside: those, the listener, and one that waits for room
@@ -27,7 +27,7 @@
 
 
 class Management:
-    """Owns the door's listener and its callers' connections."""
+    """Owns the admin listener and its callers' connections."""
 
     def __init__(self, loop: Loop, pool: BufferPool, verbs: Verbs) -> None:
         self._loop, self._pool, self._verbs = loop, pool, verbs
@@ -37,7 +37,7 @@
         self.listener = Listener(loop, "management", self._room, self._shed, self._welcome)
 
     def listen(self, address: tuple[str, int]) -> None:
-        """Open the door; raises OSError where the address can't be had."""
+        """Open the listener; raises OSError where the address can't be had."""
         self.listener.listen(address)
 
     def _room(self) -> bool:
@@ -102,7 +102,7 @@
 class Operated(Protocol):
     """What the operators run, of whatever parts."""
 
-    figures: Figures
+    metrics: Metrics
 
     @property
     def phase(self) -> Phase: ...
@@ -118,8 +118,8 @@
     def status() -> tuple[int, bytes]:
         return 200 if operated.phase in TAKES_CLIENTS else 503, f"{operated.phase.value}\n".encode()
 
-    def figures() -> tuple[int, bytes]:
-        return 200, operated.figures.render(operated.classes(), operated.gauges())
+    def metrics() -> tuple[int, bytes]:
+        return 200, operated.metrics.render(operated.classes(), operated.gauges())
 
     def moving(name: str, move: Callable[[], None]) -> Verb:
         def verb() -> tuple[int, bytes]:
@@ -132,7 +132,7 @@
 
     return {
         b"/status": {b"GET": status},
-        b"/status/metrics": {b"GET": figures},
+        b"/status/metrics": {b"GET": metrics},
         b"/standby": {b"POST": moving("standby", operated.standby)},
         b"/active": {b"POST": moving("active", operated.active)},
     }
--- a/pulleyroute/service/assembly.py
+++ b/pulleyroute/service/assembly.py
@@ -22,14 +22,14 @@
 from pulleyroute.interface import Settings, WorkerId
 from pulleyroute.net.buffers import BufferPool, Ledger
 from pulleyroute.net.discovery import DiscoveryClient
-from pulleyroute.net.duty import Duty, Phase
-from pulleyroute.net.figures import Ended, Figures, Gauges
+from pulleyroute.net.downstream import Downstream
 from pulleyroute.net.http2 import Limits
 from pulleyroute.net.instance import Instances
+from pulleyroute.net.lifecycle import Lifecycle, Phase
 from pulleyroute.net.loop import Loop
 from pulleyroute.net.management import DESCRIPTORS, Management, verbs
+from pulleyroute.net.metrics import Ended, Gauges, Metrics
 from pulleyroute.net.process import descriptors
-from pulleyroute.net.service_client import ServiceClient
 from pulleyroute.net.tls import Files, client_context, server_context
 from pulleyroute.service.changes import Plan, plan
 from pulleyroute.service.withheld import FleetHost, Withheld
@@ -70,7 +70,7 @@
         self.config: Config | None = None
         self.pools: dict[str, Running] = {}
         self.fronts: dict[str, Front] = {}
-        self.clients: dict[str, ServiceClient] = {}
+        self.clients: dict[str, Downstream] = {}
         self._retired: list[Running] = []
         self._leaving: list[Front] = []
         self._routes: Routes[Target] = Routes([])
@@ -80,11 +80,11 @@
         limits = config.limits
         sockets, memory = (limits.sockets, limits.memory) if limits is not None else (1024, 256 * 1024**2)
         self._budget = descriptors(sockets) - RESERVE - (DESCRIPTORS if config.management is not None else 0)
-        self.figures = Figures()
-        self._duty = Duty()
+        self.metrics = Metrics()
+        self._lifecycle = Lifecycle()
         self.status = 0  # that the process is to end with
         self.moved: Callable[[], None] = lambda: None  # hears of each change of phase
-        loop.moderation.span = limits.rest if limits is not None else 50
+        loop.wakeup_pacing.span = limits.rest if limits is not None else 50
         self._ledger = Ledger(int(memory * READ_SHARE))
         self.apply(config)
         if config.management is not None:
@@ -94,14 +94,14 @@
                 raise CannotServe(
                     "management: cannot listen on {}:{}: {}".format(*config.management, exc.strerror)
                 ) from None
-        self._duty.serve()
+        self._lifecycle.serve()
 
-    # For the operators' door
+    # For the admin listener
 
     @property
     def phase(self) -> Phase:
         """What it is doing for its clients."""
-        return self._duty.phase
+        return self._lifecycle.phase
 
     def classes(self) -> list[str]:
         """The names of the classes in force."""
@@ -118,7 +118,7 @@
 
     def standby(self) -> None:
         """Drain, and stay: jobs' clients are sent elsewhere, and health says that nothing is served."""
-        if self._duty.standby(self._loop.now()):
+        if self._lifecycle.standby(self._loop.now()):
             self.health.change(False)
             for each in self.clients.values():
                 each.standby()
@@ -126,7 +126,7 @@
 
     def active(self) -> None:
         """Back to work."""
-        if self._duty.active():
+        if self._lifecycle.active():
             self.health.change(True)
             for each in self.clients.values():
                 each.active()
@@ -183,7 +183,7 @@
 
     def jobs(self) -> tuple[int, int]:
         """How many jobs were served, and how many have ended, since the start."""
-        counts = [self.figures.counts(name) for name in self.classes()]
+        counts = [self.metrics.counts(name) for name in self.classes()]
         return sum(each[Ended.ANSWERED] for each in counts), sum(sum(each.values()) for each in counts)
 
     # Configurations
@@ -197,7 +197,7 @@
             pools[name] = self._pool(config, config.pool[name], client.get(name))
         routes = self._route(config, pools)
         fronts: dict[str, Front] = {}
-        clients: dict[str, ServiceClient] = {}
+        clients: dict[str, Downstream] = {}
         try:
             for name in made.new_listeners:
                 self._listen(name, config.listener[name], pools, routes, server.get(name), fronts, clients)
@@ -271,7 +271,7 @@
                 pool.message,
                 context,
                 pool.tls.server_name if pool.tls is not None else "",
-                self.figures,
+                self.metrics,
             )
         else:
             back = Instances(
@@ -280,7 +280,7 @@
                 discovery,
                 settings,
                 int(self._budget * INSTANCE_SHARE),
-                self.figures,
+                self.metrics,
             )
         host = FleetHost(self._loop, settings, self._random.getrandbits(64), discovery, back)
         if isinstance(back, Calls):
@@ -335,7 +335,7 @@
         routes: Routes[Target],
         context: ssl.SSLContext | None,
         fronts: dict[str, Front],
-        clients: dict[str, ServiceClient],
+        clients: dict[str, Downstream],
     ) -> None:
         if listener.protocol == "grpc":
             front = Front(
@@ -346,7 +346,7 @@
                 self.health,
                 context,
                 name,
-                self.figures,
+                self.metrics,
             )
             front.listen(listener.address)
             fronts[name] = front
@@ -354,7 +354,7 @@
         running = pools[listener.pool]
         limits = listener.limits or ListenerLimits()
         most = min(limits.connections, int(self._budget * (1 - INSTANCE_SHARE)))
-        each = ServiceClient(
+        each = Downstream(
             self._loop,
             self._buffers,
             self._ledger,
@@ -362,7 +362,7 @@
             running.settings,
             most,
             min(limits.calls, int(self._budget * JOB_SHARE)),
-            self.figures,
+            self.metrics,
         )
         each.left = lambda: self._left.add(name)
         each.listen(listener.address)
@@ -396,7 +396,7 @@
 
     def stop(self) -> None:
         """Nothing new; what is out finishes, bounded by each listener's drain; then the loop stops."""
-        if not self._duty.end(self._loop.now(), 0):
+        if not self._lifecycle.end(self._loop.now(), 0):
             return
         self.health.change(False)
         self.moved()
--- a/tests/net/test_handover.py
+++ b/tests/net/test_handover.py
@@ -8,11 +8,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pulleyroute import recall
-from pulleyroute.net.duty import Phase
+from pulleyroute import snapshot
+from pulleyroute.net.downstream import Downstream
 from pulleyroute.net.handover import STATE_TIME, Handover, Link, Unreadable, inherited, pack, place, unpack
+from pulleyroute.net.lifecycle import Phase
 from pulleyroute.net.loop import Task
-from pulleyroute.net.service_client import ServiceClient
 from tests.net.scene import READY, SECOND, TAKEN, Scene, callback
 
 
@@ -51,7 +51,7 @@
         """As the kernel does it: what it holds is closed, nothing else is said."""
         self.clients.listener.pause()
         self.clients._move = None
-        self.handover._close_door()
+        self.handover._close_meeting_place()
         self.starting.cancel()
         self.host.abandon = lambda job: None
         for connection in list(self.clients._connections):
@@ -160,7 +160,7 @@
     # Guards the job: 204 would be the instance's last word on it.
     open_job(old, "/charge", "t1", accept=False)
     new = old.next()
-    passing(old, lambda: old.clients.duty.phase is Phase.HANDED)
+    passing(old, lambda: old.clients.lifecycle.phase is Phase.HANDED)
     old.handover._after._task.cancel()  # it hangs
     assert b" 503 " in told(new, "t1", "s-0")
 
@@ -181,7 +181,7 @@
 def test_a_job_that_is_there_twice_has_one_attempt_and_each_client_an_answer(old):
     client, instance, _ = open_job(old, "/charge", "t1")
     new = old.next(listens=False)
-    receive = ServiceClient.receive
+    receive = Downstream.receive
 
     def late(clients, *more):  # somebody takes the id at the last moment
         other.append(new.ask("/charge", "t1"))
@@ -190,7 +190,7 @@
 
     other = []
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(ServiceClient, "receive", late)
+        patch.setattr(Downstream, "receive", late)
         new.serve()
         passing(old, lambda: other)
         assert b" 502 " in client.message()[0]
@@ -221,7 +221,7 @@
     new = old
     for _ in range(upgrades):
         before, new = new, new.next()
-        passing(old, lambda p=before: p.clients.duty.phase is Phase.HANDED)
+        passing(old, lambda p=before: p.clients.lifecycle.phase is Phase.HANDED)
     if state == "unknown":
         assert b" 204 " in told(new, "nobody", instance)
         return
@@ -248,9 +248,9 @@
     assert abs(heirs.workers[b"s-0"].down_until - until) <= 20_000 and new.host.avoided == 1
     assert heirs.workers[b"s-2"].budget == 0.75 and cold.budget == 0.0
     assert heirs.runs == {"read": 4321.0} and heirs.busy == 1.75
-    earlier = {**recall.knowledge(rules), "load": 3.5}
+    earlier = {**snapshot.knowledge(rules), "load": 3.5}
     del earlier["busy"]  # as a version tells that kept none
-    recall.learn(heirs, earlier)
+    snapshot.learn(heirs, earlier)
     assert heirs.load == 3.5 and heirs.busy == 1.75
     assert b"watch=1&from=5" in new.discovery_peer.accept().message()[0]
 
@@ -288,7 +288,7 @@
     old.loop.skip(1_500_000)
     assert seen[: number + 1] == MESSAGES[: number + 1]
     stays = processes["new" if doomed == "old" else "old"]
-    passing(old, lambda: stays.clients.duty.ready)
+    passing(old, lambda: stays.clients.lifecycle.ready)
     for txn, (client, instance, peer) in jobs.items():
         assert not (old.host.knows(txn) and new.host.knows(txn))
         if not stays.host.knows(txn):
@@ -303,7 +303,7 @@
     assert stays.known()
     monkeypatch.undo()
     if doomed == "new":
-        assert old.next().clients.duty.ready  # it can be met again
+        assert old.next().clients.lifecycle.ready  # it can be met again
     idle.close()
 
 
@@ -314,18 +314,18 @@
         patch.setattr(os, "getuid", lambda: 77777)
         stranger = old.next()
     old.loop.skip(100_000)
-    assert stranger.clients.duty.ready and old.clients.duty.phase is Phase.SERVING
+    assert stranger.clients.lifecycle.ready and old.clients.lifecycle.phase is Phase.SERVING
     new = old.next(listens=False)
     with monkeypatch.context() as patch:
         patch.setattr(Handover, "_use", lambda handover, *_: new.clients.stop() or Phase.SERVING)
         new.serve()
-    assert new.clients.listener.sock is None and new.clients.duty.phase is Phase.ENDING
+    assert new.clients.listener.sock is None and new.clients.lifecycle.phase is Phase.ENDING
 
 
 def test_a_standby_goes_over(old):
     old.clients.standby()
     new = old.next()
-    assert new.clients.duty.phase is Phase.STANDBY
+    assert new.clients.lifecycle.phase is Phase.STANDBY
     new.clients.active()
     assert new.known()
 
@@ -340,12 +340,12 @@
 @pytest.mark.parametrize("how", ["stale", "silent", "version", "garbage", "half", "no folder", "nonsense"])
 def test_whatever_is_at_the_meeting_place_the_new_process_serves_in_time(tmp_path, how):
     platform = socket.create_server(("127.0.0.1", 0))
-    door = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-    door.bind(place(str(tmp_path), platform))
+    meeting = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    meeting.bind(place(str(tmp_path), platform))
     if how == "stale":
-        door.close()
+        meeting.close()
     else:
-        door.listen()
+        meeting.listen()
     with platform:
         answer = {
             "version": pack("state", {"version": 99, "now": 1, "last": True}),
@@ -357,12 +357,12 @@
             # What it will say waits in its socket: the new process reads it once it has connected.
             import threading
 
-            threading.Thread(target=lambda: door.accept()[0].send(answer), daemon=True).start()
+            threading.Thread(target=lambda: meeting.accept()[0].send(answer), daemon=True).start()
         folder = tmp_path / "none" if how == "no folder" else tmp_path
         new = Process(folder, platform)
         assert new.loop.time <= 1_000 * SECOND + STATE_TIME + SECOND // 10
-        assert new.known() and new.clients.duty.ready
-    door.close()
+        assert new.known() and new.clients.lifecycle.ready
+    meeting.close()
 
 
 @pytest.mark.parametrize("value", ["", "x", "-1", "2", "999", "1e1", str(10**30), "a file", "not listening"])
--- a/tests/net/test_management.py
+++ b/tests/net/test_management.py
@@ -1,12 +1,12 @@
-"""The operators' door, and the figures behind it held against what scripted peers saw."""
+"""The admin listener, and the metrics behind it held against what scripted peers saw."""
 
 import random
 from collections import Counter
 
 import pytest
 
-from pulleyroute.net.figures import Ended, Figures, Gauges
 from pulleyroute.net.management import CALLERS
+from pulleyroute.net.metrics import Ended, Gauges, Metrics
 from tests.net.scene import NACK, SECOND, TAKEN, Scene
 
 
@@ -43,7 +43,7 @@
     assert int(peer.message()[0].split()[1]) == status
     scene.loop.until(lambda: peer.pull() is not None and peer.ended)
     scene.loop.skip(SECOND + 10_000)
-    assert scene.clients.duty.ready and not scene.door._count
+    assert scene.clients.lifecycle.ready and not scene.admin._count
 
 
 def test_callers_that_say_nothing_cannot_keep_a_call_out_nor_can_clients():
@@ -55,7 +55,7 @@
     for _ in range(20):  # well under the second that an answer may take
         scene.loop.skip(40_000)
         scene.loop.settle()
-        assert scene.door._count <= CALLERS
+        assert scene.admin._count <= CALLERS
     assert b" 200 " in peer.message()[0]
     for each in crowd + clients:
         each.close()
@@ -70,15 +70,15 @@
 
 
 def test_names_that_would_break_a_line_are_made_fit_and_a_dropped_class_keeps_its_counts():
-    figures = Figures()
-    figures.ended("old", Ended.ANSWERED)
-    text = figures.render(["a:b|c\n"], Gauges(1, 2, 3)).decode()
+    metrics = Metrics()
+    metrics.ended("old", Ended.ANSWERED)
+    text = metrics.render(["a:b|c\n"], Gauges(1, 2, 3)).decode()
     assert "app.answered.a_b_c_:0|c\n" in text and "app.answered.old:1|c\n" in text
     assert "app.current:1|g\napp.cluster_size:2|g\napp.cluster_unhealthy:3|g\n" in text
 
 
 def test_every_ending_is_counted_once_under_the_status_that_the_client_got():
-    """Seeded traffic with every ending; what the scripted peers counted has to be what the figures say."""
+    """Seeded traffic with every ending; what the scripted peers counted has to be what the metrics say."""
     rng = random.Random(5)
     scene = Scene(instances=3, **{"max-attempts": 2})
     seen: Counter[str] = Counter()
