Rig: wait for what a verdict rests on, in place of the clock

test_runners_are_drained_one_after_the_other_and_told_so failed beside other work (drained 1, not 2): the schedule drained r1 at 7 s, as r0 was given back, and gave it back at 9 s, drained or not, with jobs of a second on the mean there. Other verdicts hung on the clock in the same way: two members out within 9 s, all restarts within 9 s, five requests for permits within the 0.3 s that a slow store takes, the stop of 13 s that the others' way out has to fall into, jobs of a second that have to outlast the word that a runner is drained.

Ruled out: longer times in the schedules, since any of them is passed on a machine that is slow enough.

Deeds can wait for what has happened: a runner told as drained, so many members out or restarted. The store's stand-in can hold requests for permits until every member's is there. An operator's call that is lost is made again where the verdict needs it. Jobs of the drained runners take four seconds on the mean, and clients wait for them. All checks stay; the two on who may be out look on for 4 and 8 s after the most that may be is out.

--- a/pulleyroute/emulator/store.py
+++ b/pulleyroute/emulator/store.py
@@ -17,7 +17,7 @@
 
 from pulleyroute.emulator.store_model import INVALID, Item, Refused, Request, Store
 from pulleyroute.net.buffers import BufferPool
-from pulleyroute.net.http import Broken, Late, Malformed, Stream
+from pulleyroute.net.http import Broken, Late, Malformed, Message, Stream
 from pulleyroute.net.loop import READABLE, Coroutine, Loop, Task, Wait
 
 UNAVAILABLE = 14
@@ -34,6 +34,10 @@
     leaderless: bool = False  # every call is turned down
     lose_answers: int = 0  # so many changes are carried out and their connection closed unanswered
     silent_watches: bool = False  # watches stay open and tell nothing
+    gather: int = (
+        0  # transactions that put a key under `gather_under` are held until so many keys are asked for
+    )
+    gather_under: str = ""
 
 
 class Server:
@@ -51,6 +55,7 @@
         self.store, self.faults = Store(), Faults()
         self._log: int | None = None
         self._full = False  # the log can't be written: nothing is promised any more
+        self._gathered: set[bytes] = set()  # keys that held transactions ask for
         self._tasks: list[Task] = []
         self._streams: set[Stream] = set()
         self._paths: dict[bytes, Callable[[Json], Json]] = {
@@ -148,6 +153,7 @@
                     status, body = self._told(message.body)
                     yield from stream.answer(status, body, [], True, None)
                     return
+                yield from self._gathering(message)
                 before = self.store.revision
                 status, body = self._answer(message.target, message.body)
                 if self.faults.lose_answers and self.store.revision != before:
@@ -161,6 +167,17 @@
             self._streams.discard(stream)
             stream.close()
 
+    def _gathering(self, message: Message) -> Coroutine[None]:
+        """Hold a transaction until all that `gather` names are there, so that none has heard of another's."""
+        if not self.faults.gather or message.target != b"/v3/kv/txn":
+            return
+        asked = _puts_under(message.body, self.faults.gather_under.encode())
+        self._gathered |= asked
+        if not asked:
+            return
+        while len(self._gathered) < self.faults.gather:
+            yield Wait(until=self._loop.now() + LOOK)
+
     def _told(self, data: bytes) -> tuple[int, bytes]:
         """`POST /faults`, which only the stand-in has: what it is to do wrong from now on."""
         try:
@@ -282,6 +299,16 @@
             yield Wait(until=self._loop.now() + LOOK)
 
 
+def _puts_under(data: bytes, prefix: bytes) -> set[bytes]:
+    """The keys below a prefix that a transaction puts; none where it is not in form."""
+    try:
+        puts = [op["request_put"] for op in json.loads(data).get("success", []) if "request_put" in op]
+        keys = {_bytes(each, "key") for each in puts}
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
+        return set()
+    return {key for key in keys if key.startswith(prefix)}
+
+
 def _line(result: Json) -> bytes:
     data = json.dumps({"result": result}).encode() + b"\n"
     return b"%x\r\n%s\r\n" % (len(data), data)
--- a/pulleyroute/lab/fleet/rig.py
+++ b/pulleyroute/lab/fleet/rig.py
@@ -29,7 +29,17 @@
 from pulleyroute.fleet.records import Refused
 from pulleyroute.fleet.store import Client, Lost, Turned
 from pulleyroute.lab.fleet.checker import Asked, Limits, Look, Saw, judge
-from pulleyroute.lab.fleet.schedule import BAD, Deed, Schedule
+from pulleyroute.lab.fleet.schedule import (
+    AWAIT_OUT,
+    AWAIT_RESTARTS,
+    BAD,
+    GATHER,
+    ONCE_DRAINED,
+    ONCE_OUT,
+    WAITS,
+    Deed,
+    Schedule,
+)
 from pulleyroute.net.buffers import BufferPool
 from pulleyroute.net.http import Broken, Crowded, Late, Malformed, connect
 from pulleyroute.net.loop import Coroutine, Loop, Wait
@@ -38,7 +48,6 @@
 PATIENCE = 90 * SECOND  # for what only a broken program keeps waiting for
 LOOK = 40_000  # between two looks at a member
 LOOK_TIME = 400_000  # a look that takes longer says nothing
-GIVE_UP = 5 * SECOND  # of every class
 AGAIN = 300_000  # the platform starts what ended after so long
 ALONE = 5 * SECOND  # within which each restarts where nothing is agreed
 PORTS = 20_000  # the store's, then the members'
@@ -76,12 +85,12 @@
 class "look" {{
   effect  = "safe"
   aim     = "1s"
-  give_up = "5s"
+  give_up = "{give_up}ms"
 }}
 class "charge" {{
   effect  = "unsafe"
   aim     = "1s"
-  give_up = "5s"
+  give_up = "{give_up}ms"
   worth   = 3
 }}
 {fleet}"""
@@ -249,6 +258,7 @@
             members=shape.members,
             number=member.number,
             instances=instances,
+            give_up=shape.give_up // 1000,
             fleet=fleet,
         )
         path.write_text("nonsense" if member.version.endswith("never") else text)
@@ -345,7 +355,7 @@
 
     def _asking(self, txn: str, kind: str, member: Member) -> Coroutine[None]:
         at, stream, ending, sent = self.loop.now(), None, "lost", False
-        until = at + GIVE_UP + SECOND
+        until = at + self._shape.give_up + SECOND
         self._out += 1
         try:
             stream = yield from connect(self.loop, self._pool, member.clients.address, until)
@@ -356,7 +366,7 @@
                     (b"Host", b"rig"),
                     (b"X-Txn", txn.encode()),
                     (b"Content-Length", b"2"),
-                    (b"X-Remaining-Ms", b"%d" % (GIVE_UP // 1000)),
+                    (b"X-Remaining-Ms", b"%d" % (self._shape.give_up // 1000)),
                 ],
             )
             yield from stream.send(stream.frame(head, b"{}"), until)
@@ -376,6 +386,8 @@
 
     def _do(self, deed: Deed) -> None:
         self.note(str(deed))
+        if deed.what in WAITS:
+            return
         if deed.what.startswith("store-") and deed.who < 0:
             self._hurt_store(deed)
             return
@@ -386,13 +398,15 @@
             self.loop.spawn(self._hurting_leader(deed), "platform")
             return
         if deed.what in ("box-drain", "box-undrain"):
-            self.loop.spawn(self._boxing(deed, f"r{deed.who}"), "operator")
+            box = f"r{deed.who}"
+            self.loop.spawn(self._operating(deed, box, lambda: self._boxing(deed, box)), "operator")
             return
         member = self.members[deed.who]
         if deed.what == "wish" and not self._agreement:
             self._after(int(self._random.random() * ALONE), lambda: self._restart_alone(member))
         elif deed.what in ("wish", "undrain"):
-            self.loop.spawn(self._wishing(deed, member), "operator")
+            call = self._operating(deed, member.name, lambda: self._wishing(deed, member))
+            self.loop.spawn(call, "operator")
         elif deed.what in ("kill", "term"):
             if member.process is not None:
                 self._hurt(member)
@@ -404,7 +418,10 @@
                 self._hurt(member)
                 member.stopped_at = self.loop.now()
                 member.process.send_signal(signal.SIGSTOP)
-                self._after(deed.span, lambda: self._go_on(member))
+                if deed.span:
+                    self._after(deed.span, lambda: self._go_on(member))
+        elif deed.what == "go-on":
+            self._go_on(member)
         elif deed.what == "store-cut":
             member.store.cut(deed.more in ("both", "up"), deed.more in ("both", "down"))
             self._after(deed.span, member.store.heal)
@@ -416,7 +433,9 @@
             for link in member.runners:
                 link.cut()
                 self._after(deed.span, link.heal)
-            self.saw.cut.setdefault(deed.who, []).append((now, now + deed.span + GIVE_UP + SECOND))
+            self.saw.cut.setdefault(deed.who, []).append(
+                (now, now + deed.span + self._shape.give_up + SECOND)
+            )
         elif deed.what == "client-reset":
             now = self.loop.now()
             self.saw.cut.setdefault(deed.who, []).append((now - SECOND, now + SECOND))
@@ -477,6 +496,7 @@
                 "store-lose": {"lose_answers": 2},
                 "store-silent": {"silent_watches": True},
                 "store-slow": {"slow": 300_000},
+                GATHER: {"gather": self._shape.members, "gather_under": f"/pulleyroute/{GROUP}/permit/"},
             }
             faults = known.get(deed.what)
             if faults is None:
@@ -497,25 +517,33 @@
             stream = yield from connect(self.loop, self._pool, (self.host, self._store_port), until)
             yield from exchange(stream, b"POST", b"/faults", until, json.dumps(faults).encode())
 
+    def _operating(self, deed: Deed, name: str, call: Callable[[], Coroutine[None]]) -> Coroutine[None]:
+        """One operator's call, made again while it is lost where the schedule says that operators insist."""
+        end = self.loop.now() + (PATIENCE if self.schedule.insists else 0)
+        while True:
+            try:
+                yield from call()
+                return
+            except Lost as exc:
+                self.note(f"operator: {deed.what} {name}: {exc}")
+                if self.loop.now() >= end:
+                    return
+            except (Turned, Refused) as exc:
+                self.note(f"operator: {deed.what} {name}: {exc}")
+                return
+            yield Wait(until=self.loop.now() + LOOK)
+
     def _wishing(self, deed: Deed, member: Member) -> Coroutine[None]:
-        try:
-            if deed.what == "undrain":
-                yield from self.operator.undrain(member.name, "as planned")
-            elif deed.more == "restart":
-                yield from self.operator.drain(member.name, "restart", "as planned", f"v{deed.at}")
-            else:
-                yield from self.operator.drain(member.name, "standby", "as planned")
-        except (Lost, Turned, Refused) as exc:
-            self.note(f"operator: {deed.what} {member.name}: {exc}")
+        if deed.what == "undrain":
+            return self.operator.undrain(member.name, "as planned")
+        if deed.more == "restart":
+            return self.operator.drain(member.name, "restart", "as planned", f"v{deed.at}")
+        return self.operator.drain(member.name, "standby", "as planned")
 
     def _boxing(self, deed: Deed, box: str) -> Coroutine[None]:
-        try:
-            if deed.what == "box-undrain":
-                yield from self._undrain_box("boxes", box)
-            else:
-                yield from self.operator.drain_runner("boxes", box, "as planned")
-        except (Lost, Turned, Refused) as exc:
-            self.note(f"operator: {deed.what} {box}: {exc}")
+        if deed.what == "box-undrain":
+            return self._undrain_box("boxes", box)
+        return self.operator.drain_runner("boxes", box, "as planned")
 
     def _releasing(self, deed: Deed) -> Coroutine[None]:
         plan = release.Plan(
@@ -524,7 +552,7 @@
             (Part(count=1), Part(share=0.5), Part(share=1.0)),
             at_once=2,
             soak=5 * SECOND,
-            patience=15 * SECOND,
+            patience=self._shape.patience,
             on_failure="back",
         )
         try:
@@ -619,12 +647,7 @@
         self._began = self.loop.now()
         for deed in self.schedule.deeds:
             yield Wait(until=self._began + deed.at)
-            if deed.more == "once out":
-                # The later deeds come later by as much: what they are to meet does not hang on speed.
-                since, member = self.loop.now(), self.members[deed.who]
-                while member.ready and self.loop.now() < since + PATIENCE:
-                    yield Wait(until=self.loop.now() + LOOK)
-                self._began += self.loop.now() - since
+            yield from self._until_due(deed)
             self._do(deed)
         yield Wait(until=self._began + shape.length)
         yield from self._calm()
@@ -667,6 +690,32 @@
         with contextlib.suppress(TimeoutError):
             yield from self._until(lambda: not self._out)
 
+    def _until_due(self, deed: Deed) -> Coroutine[None]:
+        """Wait for what the deed is to meet, on a slow machine as on a fast one.
+
+        The later deeds come later by as much, so that the time between two of them stays as it was drawn.
+        """
+        due = self._condition(deed)
+        if due is None:
+            return
+        since = self.loop.now()
+        try:
+            yield from self._until(due, deed.span if deed.what in WAITS and deed.span else PATIENCE)
+        except TimeoutError:
+            self.note(f"did not come to be: {deed}")
+        self._began += self.loop.now() - since
+
+    def _condition(self, deed: Deed) -> Callable[[], bool] | None:
+        if deed.more == ONCE_OUT:
+            return lambda: not self.members[deed.who].ready
+        if deed.more == ONCE_DRAINED:
+            return lambda: f"r{deed.who}" in self._drained
+        if deed.what == AWAIT_OUT:
+            return lambda: sum(not member.ready for member in self.members) >= deed.who
+        if deed.what == AWAIT_RESTARTS:
+            return lambda: sum(status == STATUS for _, status, _ in self.saw.exits) >= deed.who
+        return None
+
     def _all_ready(self) -> bool:
         return all(member.ready and member.process is not None for member in self.members)
 
@@ -680,8 +729,8 @@
             yield Wait(until=self.loop.now() + SECOND // 10)
         raise TimeoutError("the fleet did not come together")
 
-    def _until(self, so: Callable[[], bool]) -> Coroutine[None]:
-        end = self.loop.now() + PATIENCE
+    def _until(self, so: Callable[[], bool], patience: int = PATIENCE) -> Coroutine[None]:
+        end = self.loop.now() + patience
         while not so():
             if self.loop.now() > end:
                 raise TimeoutError("it did not come to be")
--- a/pulleyroute/lab/fleet/schedule.py
+++ b/pulleyroute/lab/fleet/schedule.py
@@ -6,6 +6,11 @@
 from random import Random
 
 SECOND = 1_000_000
+ONCE_OUT = "once out"  # a deed waits until its member wants no clients
+ONCE_DRAINED = "once drained"  # a deed waits until an operator was told that its runner is drained
+# Deeds that do nothing but wait, for `span` at most: until `who` members want no clients, or have restarted.
+AWAIT_OUT, AWAIT_RESTARTS = "await-out", "await-restarts"
+WAITS = (AWAIT_OUT, AWAIT_RESTARTS)
 
 
 @dataclass(slots=True, frozen=True)
@@ -22,6 +27,8 @@
     length: int = 12 * SECOND
     rate: float = 30.0  # jobs a second
     mean_ms: int = 30  # that a job runs
+    give_up: int = 5 * SECOND  # of every class
+    patience: int = 15 * SECOND  # of a release, for the members of a wave
 
     def zone(self, member: int) -> str:
         return f"z{member % self.zones}"
@@ -31,7 +38,7 @@
 class Deed:
     """One thing done at a time of the run. `who`: a member's or runner's number; `span`: how long it lasts.
 
-    `more`: of a wish what is wanted, of a cut which way; "once out" waits until the member wants no clients.
+    `more`: of a wish what is wanted, of a cut which way; `ONCE_OUT` and `ONCE_DRAINED` are what it waits for.
     """
 
     at: int
@@ -56,6 +63,8 @@
     "release-halt",
     "release-resume",
     "release-back",
+    "go-on",
+    *WAITS,
 )  # no faults
 MEMBER_FAULTS = (
     "kill",
@@ -78,15 +87,20 @@
     "store-silent",
     "store-slow",
 )
+GATHER = "store-gather"  # requests for permits are held until every member's is there
 
 
 @dataclass(slots=True, frozen=True)
 class Schedule:
-    """A run: its seed, its fleet and its deeds in the order of their times."""
+    """A run: its seed, its fleet and its deeds in the order of their times.
+
+    `insists`: operators repeat a call that is lost, where the verdict needs that the call took effect.
+    """
 
     seed: int
     shape: Shape
     deeds: list[Deed] = field(default_factory=list)
+    insists: bool = False
 
     @property
     def faults(self) -> int:
--- a/tests/fleet/test_rig.py
+++ b/tests/fleet/test_rig.py
@@ -5,20 +5,37 @@
 
 import sys
 from concurrent.futures import ProcessPoolExecutor
+from dataclasses import replace
 from multiprocessing import get_context
 
 import pytest
 
 from pulleyroute.lab.fleet.campaign import play
-from pulleyroute.lab.fleet.schedule import Deed, Schedule, Shape, draw
+from pulleyroute.lab.fleet.schedule import (
+    AWAIT_OUT,
+    AWAIT_RESTARTS,
+    GATHER,
+    ONCE_DRAINED,
+    ONCE_OUT,
+    Deed,
+    Schedule,
+    Shape,
+    draw,
+)
 
 S = 1_000_000
 SHAPE = Shape(members=5, runners=2, length=9 * S, rate=20.0)
-# The store takes 0.3 s for each answer, so that all have asked before any has heard of another's permit.
+# The store holds each request for a permit until all five are there: nobody has heard of another's permit.
 ALL_AT_ONCE = Schedule(
     1,
-    SHAPE,
-    [Deed(S // 2, "store-slow", -1, 5 * S), *(Deed(S, "wish", who, 0, "standby") for who in range(5))],
+    replace(SHAPE, lease=10 * S),
+    [
+        Deed(S // 2, GATHER),
+        *(Deed(S, "wish", who, 0, "standby") for who in range(5)),
+        Deed(5 * S, AWAIT_OUT, 2),
+        Deed(5 * S, AWAIT_OUT, 3, 4 * S),
+    ],
+    insists=True,
 )
 # One stands still while it is out, for longer than its lease; then all others are wanted out.
 STALLED = Schedule(
@@ -26,9 +43,13 @@
     SHAPE,
     [
         Deed(S, "wish", 0, 0, "standby"),
-        Deed(2 * S, "stop", 0, 13 * S, "once out"),
+        Deed(2 * S, "stop", 0, 0, ONCE_OUT),
         *(Deed(9 * S, "wish", who, 0, "standby") for who in range(1, 5)),
+        Deed(9 * S, AWAIT_OUT, 2),
+        Deed(9 * S, AWAIT_OUT, 3, 8 * S),
+        Deed(9 * S, "go-on", 0),
     ],
+    insists=True,
 )
 RELEASE = Schedule(
     3,
@@ -38,18 +59,21 @@
         Deed(2 * S, "store-kill", -1, S),
         Deed(4 * S, "kill", 2),
         Deed(5 * S, "store-cut", 3, 3 * S, "down"),
+        Deed(9 * S, AWAIT_RESTARTS, 4),
     ],
+    insists=True,
 )
-# Jobs of a second on the mean, on runners of which one after the other is drained.
+# Jobs of four seconds on the mean, on runners of which one after the other is drained.
 BOXES = Schedule(
     4,
-    Shape(members=4, runners=3, length=10 * S, rate=8.0, mean_ms=1000),
+    Shape(members=4, runners=3, length=10 * S, rate=2.5, mean_ms=4000, give_up=60 * S),
     [
         Deed(2 * S, "box-drain", 0),
-        Deed(7 * S, "box-undrain", 0),
-        Deed(3 * S, "box-drain", 1),
-        Deed(9 * S, "box-undrain", 1),
+        Deed(7 * S, "box-undrain", 0, 0, ONCE_DRAINED),
+        Deed(7 * S, "box-drain", 1),
+        Deed(9 * S, "box-undrain", 1, 0, ONCE_DRAINED),
     ],
+    insists=True,
 )
 # A version that errs, and a good one; the leader is stopped past its lease and woken, and killed.
 BAD_VERSION = Schedule(
@@ -57,7 +81,7 @@
 )
 GOOD_VERSION = Schedule(
     6,
-    SHAPE,
+    replace(SHAPE, patience=60 * S),
     [Deed(S, "release", -1, 0, "v2"), Deed(4 * S, "kill-leader"), Deed(12 * S, "stop-leader", -1, 5 * S)],
 )
 MUTANT = """
--- a/tests/fleet/test_store.py
+++ b/tests/fleet/test_store.py
@@ -119,6 +119,17 @@
     play.close()
 
 
+def test_transactions_under_a_prefix_are_held_until_so_many_keys_are_asked_for(play):
+    play.servers[0].faults.gather, play.servers[0].faults.gather_under = 2, "permit/"
+    assert put(play, b"k", b"v") is None
+    with pytest.raises(Lost) as told:
+        play.run(play.client.commit(Item(b"permit/1"), b"a", play.loop.now()))
+    assert told.value.maybe and play.servers[0].store.range(b"permit/1") == []
+    assert put(play, b"permit/2", b"b") is None
+    play.loop.skip(SECOND)
+    assert play.servers[0].store.range(b"permit/1")[0].value == b"a"
+
+
 def test_a_slow_store_is_given_up_in_time(play):
     play.servers[0].faults.slow = 3 * SECOND
     before = play.loop.now()
