Discovery: take lists of 1,024 instances with long names

A list of 1,024 instances whose names are as long as names in DNS is more than 1 MiB as JSON, indented or not; LINE_LIMIT passed over what was longer, from a watch and as a whole list, so that a fleet of that size would never have had a list.

The limit is 4 MiB, 4 KiB an entry. The cost of a long line is in proportion to its length now: what has come of a line is added to in place, and texts are passed over by a pattern without a choice at each character. An object's lines are held as one run of bytes, so that a flood of empty lines takes no more room than it is long. Ruled out: 8 MiB, as test_an_object_that_never_closes_holds_a_bounded_few_lines bounds a flood at 4 MiB; no limit at all, since a discovery that never ends a line would take all memory.

The three tests of tests/net/test_sizes.py fail with the limit as it was.

--- a/pulleyroute/net/discovery.py
+++ b/pulleyroute/net/discovery.py
@@ -48,7 +48,7 @@
 # A pushed list's watch is tried again within this part of the drain grace at first, and of it later: what was
 # told in between is not to be missed.
 PUSHED_FIRST, PUSHED_LONGEST = 16, 2
-LINE_LIMIT = 1024 * 1024
+LINE_LIMIT = 4 * 1024 * 1024  # bytes of a list: 1,024 entries of 4 KiB; what is held grows with what comes
 
 _FAILURES = (Broken, Crowded, Late, Malformed, ValueError, RecursionError)
 _PHASES = {"active": WorkerState.READY, "leaving": WorkerState.DRAINING, "left": WorkerState.GONE}
@@ -65,29 +65,33 @@
     entry: dict[str, Any] | None = None  # as discovery told it
 
 
-_TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')
+_TEXT = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"')
 
 
 class Words:
     """Cuts what a watch brings into words: an empty line, or a JSON object, which may be indented. No I/O."""
 
     def __init__(self) -> None:
-        self._rest = b""  # of a line
-        self._lines: list[bytes] = []  # of an object that has begun
-        self._size = self._depth = 0
+        self._rest = bytearray()  # of a line
+        self._held = bytearray()  # of an object that has begun: its lines, each with its end
+        self._depth = 0
 
     def feed(self, data: bytes) -> Iterator[bytes]:
         """The words that are whole now; raises Broken where one is too long."""
-        *lines, self._rest = (self._rest + data).split(b"\n")
+        self._rest += data  # in place: a long line would else be copied with each part of it
+        lines: list[bytes] = []
+        if b"\n" in data:
+            *lines, rest = bytes(self._rest).split(b"\n")
+            self._rest = bytearray(rest)
         for line in lines:
             bare = _TEXT.sub(b"", line)
             self._depth += bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
-            self._lines.append(line)
-            self._size += len(line) + 1  # an empty one takes room too
-            if self._depth <= 0 or self._size > LINE_LIMIT:
-                word, self._lines, self._depth, self._size = b"\n".join(self._lines).strip(), [], 0, 0
+            self._held += line + b"\n"
+            if self._depth <= 0 or len(self._held) > LINE_LIMIT:
+                word, self._depth = bytes(self._held).strip(), 0
+                self._held.clear()
                 yield word
-        if len(self._rest) + self._size > LINE_LIMIT:
+        if len(self._rest) + len(self._held) > LINE_LIMIT:
             raise Broken("a word is too long")
 
 
--- /dev/null
+++ b/tests/net/test_sizes.py
@@ -0,0 +1,58 @@
+"""1,024 instances with long names: over a watch and as a whole list."""
+
+import json
+
+import pytest
+
+from pulleyroute.net.http import BODY_LIMIT
+from tests.net.scene import Scene
+from tests.net.test_discovery import CHUNKS, chunk
+
+COUNT = 1024
+LONG = 240  # characters that make a name as long as one of DNS, beside what tells it from the others
+
+
+def long_list(scene: Scene, revision: int = 2) -> dict:
+    """So many instances at the address of the scene's first, with long names for all that has one."""
+    (one,) = scene.table("s-0", revision=revision)["members"]
+    one |= {"locality": "a" * LONG, "flavor": "f" * LONG}
+    members = [{**one, "id": f"{'é' * LONG}-{number}"} for number in range(COUNT)]
+    return {"revision": revision, "complete": True, "members": members}
+
+
+@pytest.mark.parametrize("indent", [None, 8])
+def test_a_watch_takes_a_list_of_1024_with_long_names(indent):
+    scene = Scene()
+    scene.discovery.watch(True)
+    peer = scene.discovery_peer.accept()
+    peer.message()
+    word = json.dumps(long_list(scene), indent=indent).encode() + b"\n"
+    send(
+        scene,
+        peer,
+        CHUNKS + b"".join(chunk(word[at : at + BODY_LIMIT]) for at in range(0, len(word), BODY_LIMIT)),
+    )
+    scene.loop.until(lambda: scene.discovery.version == 2)
+    assert scene.discovery.size == COUNT
+    assert scene.shown()["cluster_size"] == COUNT
+
+
+def test_the_whole_list_of_1024_with_long_names_is_taken():
+    scene = Scene()
+    scene.discovery.fetch()
+    peer = scene.discovery_peer.accept()
+    peer.message()
+    body = json.dumps(long_list(scene), indent=8).encode()
+    send(scene, peer, b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+    scene.loop.until(lambda: scene.discovery.version == 2)
+    assert scene.discovery.size == COUNT
+
+
+def send(scene, peer, data):
+    """Send what is more than a socket's buffer takes, while the scene reads."""
+    rest = memoryview(data)
+    while rest:
+        try:
+            rest = rest[peer.sock.send(rest) :]
+        except BlockingIOError:
+            scene.loop.turn(0.001)
