Hand-over: a list that one message can't take goes in parts

The list of instances went to the next process as one message of a SEQPACKET socket, which takes 180 KiB. A longer one never went: the old process ended the connection after a second of trying, and the new one began without a list and without the connections.

Parts are cut by their size in bytes, as is what is known of instances, in place of 32 instances a message. A list that fits goes as it did, so that a process of the version before still reads it; it passes over the parts of a longer one, and asks discovery as it would without a hand-over. Ruled out: a larger buffer, since the system's limit on it (net.core.wmem_max) is commonly 208 KiB.

--- a/pulleyroute/net/handover.py
+++ b/pulleyroute/net/handover.py
@@ -7,11 +7,14 @@
 | from | kind | what it says |
 | --- | --- | --- |
 | new | `hello` | here is another process, of this version, at this time of its clock |
-| old | `state` | its phase, what the list is, what is known of each instance; several, the last one marked |
+| old | `state` | its phase, the list, what is known of each instance; several, the last one marked |
 | new | `serving` | it takes the clients from here on |
 | old | `connection` | one of its connections, by descriptor, with the job that waits there if there is one |
 | old | `share` | how many descriptors and bytes it still holds |
 | both | `call`, `called` | a call-back for a job that is not here; whether it has been heard |
+
+A list that one message can't take goes as several of `list_part` in place of one `list`. A process of an
+earlier version passes those over, and asks discovery for the list.
 """
 
 from __future__ import annotations
@@ -22,7 +25,7 @@
 import os
 import socket
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any, Protocol
 
@@ -36,7 +39,7 @@
 
 VERSION = 1
 LARGEST = 180 * 1024  # of a message: a body of 64 KiB and a head, within what a socket's buffer takes
-PART = 32  # instances in one message
+PART = 160 * 1024  # bytes of a list or of knowledge in one message, which leaves room for the rest of it
 STATE_TIME = 1_000_000  # for all of the old process's state
 CALL_TIME = 1_000_000  # for the word that a call-back has been heard; the instance asks again after it
 CALL_LOOK = 2_000  # between two looks whether it has come
@@ -260,7 +263,7 @@
             link.close("it did not tell its state in time")
             return Phase.SERVING
         try:
-            for values in state:
+            for values in joined(state):
                 if values.get("list") is not None:
                     self._discovery.load_known(values["list"])
                     # At once: what discovery has told the old one since is not to be missed.
@@ -346,8 +349,8 @@
         members = self._discovery.entries()
         parts: list[Values] = [{"phase": self._clients.duty.phase.value}]
         # The list first: what is known of an instance goes to one that is listed.
-        parts.append({"list": {"revision": self._discovery.version, "complete": True, "members": members}})
-        parts += [{"known": known[at : at + PART]} for at in range(0, len(known), PART)]
+        parts += list_messages(self._discovery.version, members)
+        parts += [{"known": part} for part in by_size(known)]
         for number, part in enumerate(parts):
             values = {**part, "version": VERSION, "now": self._loop.now(), "last": number == len(parts) - 1}
             if not (yield from link.deliver("state", values)):
@@ -426,6 +429,38 @@
             link.send("called", {"number": values["number"], "heard": heard})
 
 
+def by_size(items: list[Any]) -> Iterator[list[Any]]:
+    """The items in their order, in lists of at most `PART` bytes of JSON each, or of one item."""
+    part: list[Any] = []
+    size = 0
+    for item in items:
+        more = len(json.dumps(item, separators=(",", ":"))) + 1
+        if part and size + more > PART:
+            yield part
+            part, size = [], 0
+        part.append(item)
+        size += more
+    if part:
+        yield part
+
+
+def list_messages(version: int, members: list[Any]) -> list[Values]:
+    """The list of instances as values of `state` messages."""
+    parts = [{"revision": version, "complete": True, "members": part} for part in by_size(members)]
+    if len(parts) > 1:
+        return [{"list_part": part} for part in parts]
+    return [{"list": {"revision": version, "complete": True, "members": members}}]
+
+
+def joined(state: list[Values]) -> list[Values]:
+    """The state with a list that came in parts as one `list`, ahead of what is known of its instances."""
+    parts = [values["list_part"] for values in state if "list_part" in values]
+    if not parts:
+        return state
+    members = [item for part in parts for item in part["members"]]
+    return [{"list": {**parts[-1], "members": members}}, *state]
+
+
 def place(folder: str, listener: socket.socket) -> str:
     """Where the processes that share this listener meet, and nobody else who uses the folder."""
     host, port = listener.getsockname()
--- a/tests/net/test_sizes.py
+++ b/tests/net/test_sizes.py
@@ -1,4 +1,4 @@
-"""1,024 instances with long names: over a watch and as a whole list."""
+"""1,024 instances with long names: over a watch, as a whole list, from one process to the next."""
 
 import json
 
@@ -7,6 +7,9 @@
 from pulleyroute.net.http import BODY_LIMIT
 from tests.net.scene import Scene
 from tests.net.test_discovery import CHUNKS, chunk
+from tests.net.test_handover import Process, old, passing
+
+__all__ = ["old"]  # a fixture
 
 COUNT = 1024
 LONG = 240  # characters that make a name as long as one of DNS, beside what tells it from the others
@@ -48,6 +51,17 @@
     assert scene.discovery.size == COUNT
 
 
+def test_1024_instances_go_from_one_process_to_the_next(old):
+    old.discovery.tell(old.discovery._take(long_list(old), cached=False))
+    rules = old.host._dispatcher
+    doubted = f"{'é' * LONG}-{COUNT - 1}".encode()
+    rules.doubt(rules.workers[doubted])
+    new: Process = old.next()
+    passing(old, lambda: new.discovery.size == COUNT)
+    assert new.discovery.version == 2
+    assert new.host.avoided == 1
+
+
 def send(scene, peer, data):
     """Send what is more than a socket's buffer takes, while the scene reads."""
     rest = memoryview(data)
