Fleet: read groups of 1,024 members whole, and give runners back in one operation

A group's records were one answer of the store, of 4 MiB at most: with 1,024 members, twelve runners drained and an acknowledgement of each by each, it is more, and every member and operator lost the store for good. Giving a runner back deleted one key a member, where etcd allows 128 operations a transaction by default.

A range is read in pages of 1,000 keys, all at the first page's revision, so that the whole is one moment's; a compaction that overtakes it makes it lost, to be read anew. Acknowledgements are deleted as one range. Ruled out: a larger limit on the answer, which grows with members times runners.

--- a/pulleyroute/emulator/store.py
+++ b/pulleyroute/emulator/store.py
@@ -211,7 +211,9 @@
 
     def _range(self, body: Json) -> Json:
         items = self.store.range(_bytes(body, "key"), _bytes(body, "range_end"), int(body.get("revision", 0)))
-        return {"kvs": [_item(item) for item in items], "count": str(len(items))}
+        limit = int(body.get("limit", 0)) or len(items)
+        told: Json = {"kvs": [_item(item) for item in items[:limit]], "count": str(len(items))}
+        return {**told, "more": True} if len(items) > limit else told
 
     def _put(self, body: Json) -> Json:
         self.store.txn([], [_op({"request_put": body})], [])
--- a/pulleyroute/fleet/operate.py
+++ b/pulleyroute/fleet/operate.py
@@ -158,8 +158,9 @@
             mark, want = self._item(items, "mark", pool, runner), self._item(items, "want", pool, runner)
             if mark.value is None and want.value is None:
                 raise Refused(f"nobody wants {runner} of pool {pool} drained")
-            acks = [delete(self._keys.of("ack", *each)) for each in known.acks if each[:2] == (pool, runner)]
-            also = [put(self._keys.roll_runners, self._value()), *acks]
+            # One operation for all members: the store turns down a transaction of more than 128 of them.
+            acks = delete(*self._keys.below("ack", pool, runner))
+            also = [put(self._keys.roll_runners, self._value()), acks]
             # Guards against a mark that is made meanwhile: it would be left without anybody who wants it.
             return want, None, [unchanged(mark)], [*also, delete(mark.key)]
 
--- a/pulleyroute/fleet/records.py
+++ b/pulleyroute/fleet/records.py
@@ -140,6 +140,11 @@
     def of(self, kind: str, *names: str) -> bytes:
         return self.prefix + "/".join([kind, *(quote(name, safe="") for name in names)]).encode()
 
+    def below(self, kind: str, *names: str) -> tuple[bytes, bytes]:
+        """The range of all keys of a kind that have one more name than these, and begin with them."""
+        first = self.of(kind, *names, "")
+        return first, first[:-1] + b"0"
+
 
 def encode(**values: Any) -> bytes:
     """A record's value."""
--- a/pulleyroute/fleet/store.py
+++ b/pulleyroute/fleet/store.py
@@ -24,7 +24,8 @@
 CALL_TIME = 1_000_000  # us
 LARGEST = 4 * 1024 * 1024  # bytes of an answer or a watch's line
 PAUSE, LONGEST_PAUSE = 50_000, 2_000_000  # us between tries
-UNAVAILABLE = 14
+PAGE = 1000  # keys in one answer of a range
+OUT_OF_RANGE, UNAVAILABLE = 11, 14
 DRIFT = 0.02  # of a right's time: how much faster than the store's this process's clock may be
 
 Json = dict[str, Any]
@@ -66,6 +67,15 @@
     lease: int = 0
 
 
+@dataclass(slots=True, frozen=True)
+class Page:
+    """A part of a range: the store's revision, the items, and whether there are more after them."""
+
+    revision: int
+    items: list[Item]
+    more: bool
+
+
 @dataclass(slots=True, frozen=True)
 class Right:
     """A lease as its holder may use it: until a time of its own clock, counted from before it asked."""
@@ -149,9 +159,37 @@
     # Reading
 
     def range(self, key: bytes, end: bytes = b"") -> Coroutine[tuple[int, list[Item]]]:
-        """The store's revision and what stands in the range at it."""
-        told = yield from self.call("/v3/kv/range", {"key": _text(key), "range_end": _text(end)})
-        return _shaped(lambda: (int(told["header"]["revision"]), [_item(kv) for kv in told.get("kvs", [])]))
+        """The store's revision and what stands in the range at it; read in pages, all at that revision."""
+        revision, items, start = 0, [], key
+        while True:
+            page = yield from self._page(start, end, revision)
+            revision = revision or page.revision
+            items += page.items
+            if not page.more or not page.items:
+                return revision, items
+            start = page.items[-1].key + b"\0"
+
+    def _page(self, start: bytes, end: bytes, revision: int) -> Coroutine[Page]:
+        body = {
+            "key": _text(start),
+            "range_end": _text(end),
+            "limit": str(PAGE),
+            "revision": str(revision),
+        }
+        try:
+            told = yield from self.call("/v3/kv/range", body)
+        except Turned as exc:
+            if revision and exc.code == OUT_OF_RANGE:
+                # A reading that a compaction has overtaken would else count as a call that is not in form.
+                raise Lost(str(exc), maybe=False) from None
+            raise
+        return _shaped(
+            lambda: Page(
+                int(told["header"]["revision"]),
+                [_item(kv) for kv in told.get("kvs", [])],
+                bool(told.get("more", False)),
+            )
+        )
 
     def watch(
         self, key: bytes, end: bytes, start: int, heard: Callable[[list[Item], int], None], silence: int
@@ -274,9 +312,9 @@
     return {"request_put": {"key": _text(key), "value": _text(value), "lease": str(lease)}}
 
 
-def delete(key: bytes) -> Json:
-    """A transaction's operation: delete, whether or not the key is there."""
-    return {"request_delete_range": {"key": _text(key)}}
+def delete(key: bytes, end: bytes = b"") -> Json:
+    """A transaction's operation: delete a key, whether or not it is there, or all from it to before `end`."""
+    return {"request_delete_range": {"key": _text(key), "range_end": _text(end)}}
 
 
 def _text(data: bytes) -> str:
--- /dev/null
+++ b/tests/fleet/test_sizes.py
@@ -0,0 +1,137 @@
+"""A fleet of 1,024 members in the store: read whole, watched, drained by a transaction."""
+
+import pytest
+
+from pulleyroute.fleet import records
+from pulleyroute.fleet.records import Keys
+from pulleyroute.fleet.store import LARGEST, Item, Lost, put, unchanged
+from pulleyroute.net.duty import Phase
+from tests.fleet.test_agent import Fleet, states
+from tests.fleet.test_store import Play
+from tests.net.scene import SECOND
+
+COUNT = 1024
+KEYS = Keys("g")
+NAMES = [f"{'d' * 120}-{number:04d}" for number in range(COUNT)]
+
+
+@pytest.fixture
+def play():
+    played = Play()
+    yield played
+    played.close()
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    made = Fleet(tmp_path)
+    yield made
+    made.server.close()
+    assert not made.loop.errors
+
+
+def fill(store, values):
+    """Put them all, as one change."""
+    store.txn([], [{"op": "put", "key": key, "value": value, "lease": 0} for key, value in values], [])
+
+
+def members():
+    """The records of so many members that serve."""
+    for name in NAMES:
+        yield (
+            KEYS.of("seat", name),
+            records.encode(incarnation=1, token=name, zone="z", region="r", mark=name),
+        )
+        yield KEYS.of("word", name), records.encode(incarnation=1, phase="serving", version="v1", mark=name)
+
+
+def acks(runners):
+    for number in range(runners):
+        for name in NAMES:
+            yield KEYS.of("ack", "p", f"r{number}", name), records.encode(incarnation=1, of="m", mark=name)
+
+
+def test_what_is_larger_than_one_answer_is_read_whole_and_as_it_stood_at_one_revision(play):
+    store = play.servers[0].store
+    fill(store, [*members(), *acks(12)])
+    told, seen = play.client.call, []
+
+    def changing(path, body):
+        answer = yield from told(path, body)
+        seen.append(sum(len(kv["key"]) + len(kv["value"]) for kv in answer["kvs"]))
+        fill(store, [(KEYS.of("word", NAMES[-1]), b"later")])
+        return answer
+
+    play.client.call = changing
+    revision, items = play.run(play.client.range(KEYS.prefix, KEYS.end))
+    assert revision == 2 and len(items) == 14 * COUNT and sum(seen) > LARGEST
+    assert all(item.mod == 2 for item in items)
+
+
+def test_a_reading_that_a_compaction_overtakes_is_lost_and_changed_nothing(play):
+    store = play.servers[0].store
+    fill(store, members())
+    told = play.client.call
+
+    def compacting(path, body):
+        answer = yield from told(path, body)
+        fill(store, [(b"k", b"v")])
+        store.compact(store.revision)
+        return answer
+
+    play.client.call = compacting
+    with pytest.raises(Lost) as lost:
+        play.run(play.client.range(KEYS.prefix, KEYS.end))
+    assert not lost.value.maybe
+
+
+def test_a_change_of_1024_keys_is_heard_by_a_watch(play):
+    heard = []
+
+    def watching():
+        yield from play.client.watch(KEYS.prefix, KEYS.end, 2, lambda items, _: heard.extend(items), SECOND)
+
+    fill(play.servers[0].store, members())
+    with pytest.raises(Lost):
+        play.run(watching())
+    assert len(heard) == 2 * COUNT
+
+
+def test_a_transaction_with_1024_guards_is_carried_out(play):
+    store = play.servers[0].store
+    fill(store, members())
+    items = [Item(key, b"", 2, 2) for key, _ in members()]
+    guards = [unchanged(item) for item in items if b"/word/" in item.key]
+    also = [put(KEYS.of("wish", name), b"{}") for name in NAMES]
+    until = play.loop.now() + SECOND
+    assert play.run(play.client.commit(Item(b"permit"), b"v", until, guards=guards, also=also)) is None
+    assert len(store.range(*KEYS.below("wish"))) == COUNT
+
+
+def test_a_member_among_1024_has_its_permit_and_goes(fleet):
+    fill(fleet.server.store, members())
+    service = fleet.join("me")
+    fleet.until(
+        lambda: KEYS.of("word", "me") in {item.key for item in fleet.server.store.range(*KEYS.below("word"))}
+    )
+    fleet.do(fleet.operator.drain("me", "standby", "why"))
+    fleet.until(lambda: service.phase is Phase.STANDBY)
+
+
+def test_a_runner_that_1024_members_have_acknowledged_is_given_back_in_one_small_transaction(fleet):
+    store = fleet.server.store
+    mark = (KEYS.of("mark", "p", "r0"), records.encode(mark="m", by="ann", why="why"))
+    want = (KEYS.of("want", "p", "r0"), records.encode(mark="w", by="ann", why="why"))
+    fill(store, [*members(), *acks(2), mark, want])
+    assert states(fleet)["r0"] == ("drained", [])
+    whole, sizes = store.txn, []
+
+    def counted(compares, success, failure):
+        sizes.append(max(len(compares), len(success), len(failure)))
+        return whole(compares, success, failure)
+
+    store.txn = counted
+    fleet.do(fleet.operator.undrain_runner("p", "r0", "why"))
+    assert max(sizes) <= 128
+    assert not store.range(*KEYS.below("ack", "p", "r0"))
+    assert len(store.range(*KEYS.below("ack", "p", "r1"))) == COUNT
