--- a/pulleyroute/cli/emulate.py
+++ b/pulleyroute/cli/emulate.py
@@ -29,6 +29,15 @@
     return place
 
 
+def _loop() -> Loop:
+    from pulleyroute.net.loop import Loop
+    from pulleyroute.net.process import all_descriptors, on_error
+
+    # A fleet of 1,024 has as many connections here; the limit that shells set would else end the process.
+    all_descriptors()
+    return Loop(on_error)
+
+
 def _run(loop: Loop, line: str) -> None:
     """Say that it is there, and run until SIGTERM."""
     from pulleyroute.net.process import catch_signals, heeding
@@ -52,11 +61,9 @@
 ) -> None:
     """The fleet's common store: etcd's v3 JSON gateway. The first line printed is its address."""
     from pulleyroute.emulator.store import Server
-    from pulleyroute.net.loop import Loop
-    from pulleyroute.net.process import on_error
 
     place = _loopback(address)
-    loop = Loop(on_error)
+    loop = _loop()
     try:
         server = Server(loop, place, log, leases)
     except (OSError, ValueError, KeyError) as exc:
@@ -77,10 +84,8 @@
 ) -> None:
     """A job box. Prints the addresses of its doors, one for each call-back's dispatcher, as one JSON list."""
     from pulleyroute.emulator.runner import Runner
-    from pulleyroute.net.loop import Loop
-    from pulleyroute.net.process import on_error
 
     places = [_loopback(each) for each in callback]
-    loop = Loop(on_error)
+    loop = _loop()
     box = Runner(loop, name, places, slots, mean_ms * 1000, seed, book)
     _run(loop, json.dumps(box.doors))
--- a/pulleyroute/net/process.py
+++ b/pulleyroute/net/process.py
@@ -30,6 +30,12 @@
     return wanted
 
 
+def all_descriptors() -> None:
+    """Let this process have as many as the system lets it have; a usual start is 1,024."""
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+
+
 def catch_signals() -> tuple[socket.socket, socket.socket]:
     """SIGTERM, SIGINT and SIGHUP as bytes to be read from the first socket; keep both."""
     source, sink = socket.socketpair()
--- a/tests/fleet/test_sizes.py
+++ b/tests/fleet/test_sizes.py
@@ -1,11 +1,19 @@
-"""A fleet of 1,024 members in the store: read whole, watched, drained by a transaction."""
+"""A fleet of 1,024 members: in the store, at the stand-ins and in the rig."""
+
+import json
+import resource
+import subprocess
+import sys
 
 import pytest
 
 from pulleyroute.fleet import records
 from pulleyroute.fleet.records import Keys
 from pulleyroute.fleet.store import LARGEST, Item, Lost, put, unchanged
+from pulleyroute.lab.fleet.rig import Rig
+from pulleyroute.lab.fleet.schedule import Schedule, Shape
 from pulleyroute.net.duty import Phase
+from pulleyroute.net.loop import Loop
 from tests.fleet.test_agent import Fleet, states
 from tests.fleet.test_store import Play
 from tests.net.scene import SECOND
@@ -30,6 +38,15 @@
     assert not made.loop.errors
 
 
+@pytest.fixture
+def usual_limit():
+    """The limit of descriptors that a process commonly starts with."""
+    before = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (COUNT, before[1]))
+    yield
+    resource.setrlimit(resource.RLIMIT_NOFILE, before)
+
+
 def fill(store, values):
     """Put them all, as one change."""
     store.txn([], [{"op": "put", "key": key, "value": value, "lease": 0} for key, value in values], [])
@@ -135,3 +152,28 @@
     assert max(sizes) <= 128
     assert not store.range(*KEYS.below("ack", "p", "r0"))
     assert len(store.range(*KEYS.below("ack", "p", "r1"))) == COUNT
+
+
+def test_a_runner_stand_in_serves_1024_dispatchers(usual_limit):
+    command = [sys.executable, "-m", "pulleyroute.cli", "emulate", "runner", "r0"]
+    command += [part for number in range(COUNT) for part in ("--callback", f"127.0.0.1:{20_000 + number}")]
+    with subprocess.Popen(command, stdout=subprocess.PIPE) as process:
+        try:
+            assert len({port for _, port in json.loads(process.stdout.readline())}) == COUNT
+        finally:
+            process.terminate()
+
+
+def test_the_rig_has_links_for_1024_dispatchers(usual_limit, tmp_path):
+    rig = Rig(Loop(lambda name, exc: None), Schedule(1, Shape(members=COUNT)), tmp_path)
+    try:
+        assert len({member.port for member in rig.members}) == COUNT
+        assert max(member.port for member in rig.members) < first_port_of_the_system()
+    finally:
+        rig.close()
+
+
+def first_port_of_the_system():
+    """Of those that it gives connections by itself."""
+    with open("/proc/sys/net/ipv4/ip_local_port_range") as file:
+        return int(file.read().split()[0])
