--- a/tests/lab/test_load.py
+++ b/tests/lab/test_load.py
@@ -28,6 +28,7 @@
 )
 
 ONE = Mix((("a", 1.0),))
+PATIENCE = 60.0  # real seconds for an answer; only a broken program needs them
 
 
 @pytest.mark.parametrize("text", ["100/10s", "0-200/10s", "100~80@2s/10s", "burst:300,50/4s"])
@@ -146,7 +147,7 @@
 
 def test_each_answer_is_counted_as_what_it_is():
     mix = read_mix("200,429,503,502,404,cut")
-    report = against(Server(), lambda target: closed_loop(target, 4, 60, mix, 1, 5.0, most=300))
+    report = against(Server(), lambda target: closed_loop(target, 4, 60, mix, 1, PATIENCE, most=300))
     endings = {kind: row.endings for kind, row in report.kinds.items()}
     assert {kind: next(iter(each)) for kind, each in endings.items()} == {
         "200": SERVED,
@@ -162,14 +163,14 @@
 
 def test_connections_are_kept_and_one_that_was_closed_unread_costs_nothing():
     server = Server(close_every=10)
-    report = against(server, lambda target: closed_loop(target, 1, 60, ONE, 1, 5.0, most=100))
+    report = against(server, lambda target: closed_loop(target, 1, 60, ONE, 1, PATIENCE, most=100))
     assert report.kinds["a"].endings == {SERVED: 100} and 10 <= server.connections <= 12
 
 
 def test_an_open_loop_shows_a_stall_in_every_request_that_it_held_up():
     """A closed loop of one client would see the stall once: "coordinated omission"."""
     shape, server = read_shape("100/1s"), Server(pause=0.5, after=20)
-    report = against(server, lambda target: open_loop(target, shape, ONE, 1, 10.0, even=True))
+    report = against(server, lambda target: open_loop(target, shape, ONE, 1, PATIENCE, even=True))
     held = sum(
         1
         for each in report.kinds["a"].all.get_recorded_iterator()
--- a/tests/test_sizes.py
+++ b/tests/test_sizes.py
@@ -11,7 +11,7 @@
 from tests.test_config import GOOD
 
 COUNT = 1024
-TARGET = 5700  # dispatchers of one deployment: docs/CAPACITY.md
+TARGET = 5700  # dispatchers of the largest deployment that is designed for
 
 
 def test_a_file_may_name_1024_instances_and_as_many_dispatchers(tmp_path):
