--- a/pulleyroute/net/json_lines.py
+++ b/pulleyroute/net/json_lines.py
@@ -17,8 +17,8 @@
 
     def __init__(self) -> None:
         self._rest = bytearray()  # of a line that has not ended
-        self._lines: list[bytes] = []  # of an object that has begun
-        self._size = self._depth = 0
+        self._held = bytearray()  # of an object that has begun: its lines, each with its end
+        self._depth = 0
 
     def feed(self, data: bytes) -> Iterator[bytes]:
         """The objects and empty lines that are whole now; raises Broken where one is too long."""
@@ -29,18 +29,16 @@
             self._rest = bytearray(rest)
         for line in lines:
             self._depth += _nesting(line)
-            if line:  # an empty one says nothing, and the place for it takes more room than itself
-                self._lines.append(line)
-            self._size += len(line) + 1
-            if self._depth <= 0 or self._size > LINE_LIMIT:
+            self._held += line + b"\n"
+            if self._depth <= 0 or len(self._held) > LINE_LIMIT:
                 yield self._take()
-        if len(self._rest) + self._size > LINE_LIMIT:
+        if len(self._rest) + len(self._held) > LINE_LIMIT:
             raise Broken("an object is too long")
 
     def _take(self) -> bytes:
-        whole = b"\n".join(self._lines).strip()
-        self._lines = []
-        self._size = self._depth = 0
+        whole = bytes(self._held).strip()
+        self._held.clear()
+        self._depth = 0
         return whole
 
 
