Move the host's types to net/requests.py and packing of jobs to net/job_transfer.py

The cut: jobs, ids, numbers and the decisions stay with Host alone, so `ids`, `knowledge`, `learn`, `release` and `take_over` stay there; `pack` and `take_over` hand the values' form to job_transfer; `movable` looks at a job alone and is a function of it. A class of its own for the transfer would have had to reach into all of Host's state.

Behaviour is unchanged: definitions are moved as they were, and what take_over does keeps its order. The names in what passes between two processes stay. tests/test_cli.py, list of what the platform's start loads: the two new modules are added, nothing is taken out.

--- a/pulleyroute/grpc/back.py
+++ b/pulleyroute/grpc/back.py
@@ -43,7 +43,7 @@
 
 
 class Calls:
-    """Owns every connection to a pool's instances and the attempts on them. A `host.Back`."""
+    """Owns every connection to a pool's instances and the attempts on them. A `requests.Back`."""
 
     def __init__(
         self,
--- a/pulleyroute/grpc/call.py
+++ b/pulleyroute/grpc/call.py
@@ -16,10 +16,11 @@
 from pulleyroute.grpc.meter import Meter
 from pulleyroute.grpc.status import Status
 from pulleyroute.net.buffers import Ledger
-from pulleyroute.net.host import Answer, Ending, Host, Job
+from pulleyroute.net.host import Host
 from pulleyroute.net.http import Headers
 from pulleyroute.net.http2 import Code, Stream
 from pulleyroute.net.instance import Attempt
+from pulleyroute.net.requests import Answer, Ending, Job
 
 GRACE = 5_000_000  # a call that has ended may take so long to reach a client that reads slowly
 
--- a/pulleyroute/grpc/decide.py
+++ b/pulleyroute/grpc/decide.py
@@ -13,8 +13,8 @@
 from pulleyroute.grpc.head import one
 from pulleyroute.grpc.status import MAY_NACK, NACK, TABLE, Status, Verdict, from_http, from_reset, read_status
 from pulleyroute.interface import Outcome
-from pulleyroute.net.host import Ending
 from pulleyroute.net.http import Headers
+from pulleyroute.net.requests import Ending
 
 
 @dataclass(slots=True, frozen=True)
--- a/pulleyroute/grpc/front.py
+++ b/pulleyroute/grpc/front.py
@@ -17,12 +17,13 @@
 from pulleyroute.grpc.status import Status
 from pulleyroute.net import log
 from pulleyroute.net.buffers import BufferPool, Ledger
-from pulleyroute.net.host import Host, Request
+from pulleyroute.net.host import Host
 from pulleyroute.net.http import Headers
 from pulleyroute.net.http2 import FLOOD, Http2, Limits, Owner, Stream
 from pulleyroute.net.listener import Listener
 from pulleyroute.net.loop import Loop
 from pulleyroute.net.metrics import Ended, Metrics
+from pulleyroute.net.requests import Request
 from pulleyroute.net.tls import Tls
 
 FULL_ADVICE = 1_000_000
--- a/pulleyroute/grpc/status.py
+++ b/pulleyroute/grpc/status.py
@@ -11,7 +11,7 @@
 from urllib.parse import unquote_to_bytes
 
 from pulleyroute.interface import Outcome
-from pulleyroute.net.host import Ending
+from pulleyroute.net.requests import Ending
 
 
 class Status(IntEnum):
--- a/pulleyroute/net/downstream.py
+++ b/pulleyroute/net/downstream.py
@@ -16,13 +16,15 @@
 
 from pulleyroute.interface import Settings, WorkerId
 from pulleyroute.net.buffers import BufferPool, Ledger
-from pulleyroute.net.host import Answer, Call, Ending, Host, Job, Request, State
+from pulleyroute.net.host import Host
 from pulleyroute.net.http import Broken, Headers, Late, Malformed, Message, Stream
 from pulleyroute.net.instance import read_report
+from pulleyroute.net.job_transfer import movable
 from pulleyroute.net.lifecycle import Lifecycle
 from pulleyroute.net.listener import Listener
 from pulleyroute.net.loop import ENDED, READABLE, Coroutine, Loop, Task, Wait, Woken
 from pulleyroute.net.metrics import Ended, Metrics, by_status
+from pulleyroute.net.requests import Answer, Call, Ending, Job, Request, State
 
 READY = b"/-/ready"
 CALLBACK = b"/callback"
@@ -180,7 +182,7 @@
         missed = 0
         for connection in list(self._connections):
             job, stream = connection.job, connection.stream
-            if job is not None and not stream.skipped and self._host.movable(job):
+            if job is not None and not stream.skipped and movable(job):
                 body = job.request.body
                 values = {"known": True, "job": self._host.pack(job), "pending": stream.pending()}
             elif connection.line in (self._silent, self._idle) and stream.fresh:
--- a/pulleyroute/net/handover.py
+++ b/pulleyroute/net/handover.py
@@ -30,9 +30,10 @@
 
 from pulleyroute.net.discovery import DiscoveryClient
 from pulleyroute.net.downstream import Downstream, read_call
-from pulleyroute.net.host import Call, Host
+from pulleyroute.net.host import Host
 from pulleyroute.net.lifecycle import Phase
 from pulleyroute.net.loop import READABLE, WRITABLE, Coroutine, Loop, Task, Wait
+from pulleyroute.net.requests import Call
 
 VERSION = 1
 LARGEST = 180 * 1024  # of a message: a body of 64 KiB and a head, within what a socket's buffer takes
--- a/pulleyroute/net/host.py
+++ b/pulleyroute/net/host.py
@@ -7,20 +7,18 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from enum import Enum
-from typing import Any, Protocol
+from typing import Any
 
 from loguru import logger
 
 from pulleyroute import interface as api
 from pulleyroute import snapshot
-from pulleyroute.interface import Effect, JobClass, Outcome, Scope, Settings, WorkerId
-from pulleyroute.net import log
+from pulleyroute.interface import Effect, Outcome, Scope, Settings, WorkerId
+from pulleyroute.net import job_transfer, log
 from pulleyroute.net.discovery import DiscoveryClient
-from pulleyroute.net.http import Headers
-from pulleyroute.net.instance import Attempt, Ended, Gate, Probed, Rejected
-from pulleyroute.net.loop import Loop, Timer
+from pulleyroute.net.instance import Attempt
+from pulleyroute.net.loop import Loop
+from pulleyroute.net.requests import Answer, Back, Call, Ending, Job, Reply, Request, State
 from pulleyroute.rules import PROVEN_NOT_RUN, Dispatcher
 
 # Answers leave this long before the client gives up. Guards the one answer in time; much more would leave a
@@ -34,59 +32,6 @@
 LIST_WAIT_SHARE = 2
 GUARD = 20_000  # after a job's own deadline the host answers whatever the module says
 
-
-class Ending(Enum):
-    """How a request is answered."""
-
-    SERVED = "served"
-    REFUSED = "refused"
-    FAILED = "failed"
-    REJECTED = "rejected"  # an instance says that the request itself can't be used
-
-
-@dataclass(slots=True, frozen=True)
-class Answer:
-    ending: Ending
-    result: bytes = b""
-    retry_after: int = 0  # microseconds; 0 for no advice
-    late: bool = False  # the request's time was over
-
-
-Reply = Callable[[Answer], None]
-
-
-@dataclass(slots=True)
-class Request:
-    """What a client wants done, whatever protocol it came by."""
-
-    txn: str
-    job_class: int
-    remaining: int  # microseconds that the client will still wait
-    method: bytes
-    target: bytes
-    headers: Headers  # to pass on
-    body: bytes
-    slots: float = 1.0
-    memory: float = 0.0
-    key: int = 0
-    is_repeat: bool = False
-    hint: int | None = None  # the client's guess of its work, in microseconds
-    answer_by: int | None = None  # the clock's time, where this process will not be there for longer
-    call: object = None  # what a front that streams binds to it; for its own back alone
-    gone: Callable[[], bool] | None = None  # asks whether its client has gone, where the front can tell
-
-
-class State(Enum):
-    """What an instance tells of an attempt."""
-
-    STARTED = "started"
-    RUNNING = "running"
-    DONE = "done"
-    FAILED = "failed"
-    RETURNED = "returned"
-    LOST = "lost"
-
-
 _ENDS = {
     State.DONE: Outcome.OK,
     State.FAILED: Outcome.ERROR,
@@ -95,32 +40,6 @@
 }
 
 
-@dataclass(slots=True)
-class Call:
-    """One call-back of an instance."""
-
-    txn: str
-    instance: WorkerId
-    state: State
-    share: float = 0.0
-    result: bytes = b""
-    report: api.LoadReport | None = None
-
-
-class Back(Protocol):
-    """The instances' side of one protocol. `Host` sets the four callbacks before it posts anything."""
-
-    ended: Ended
-    gate: Gate
-    rejected: Rejected
-    probed: Probed
-
-    def attempt(self, attempt: Attempt) -> None: ...
-    def give_up(self, attempt: Attempt, given: Callable[[], None]) -> None: ...
-    def probe(self, instance: WorkerId) -> None: ...
-    def close_idle(self, instance: WorkerId) -> None: ...
-
-
 def _silent(attempt: Attempt) -> bool:
     """Whether no call will come of it: it was not sent, or its answer said that it was not taken."""
     return attempt.over and (attempt.nacked or attempt.outcome in (Outcome.CONNECT_FAILED, Outcome.MOOT))
@@ -133,25 +52,6 @@
     return ", ".join(each) or "no attempt"
 
 
-@dataclass(slots=True, eq=False)
-class Job:
-    """A request taken. Its number is from a counter and is not used again."""
-
-    number: int
-    request: Request
-    reply: Reply
-    deadline: int
-    # What it was taken under, whatever the settings say by now.
-    cls: JobClass
-    most: int  # attempts
-    taken: int = 0
-    attempts: list[Attempt] = field(default_factory=list)
-    answered: bool = False  # or nobody waits any more
-    guard: Timer | None = None
-    bound: Attempt | None = None  # its answer has begun to flow: no other attempt from here on
-    committed: bool = False  # the request is not whole any more: what is out is the last attempt
-
-
 class Host:
     """Owns the dispatcher, the jobs, their attempts and deadlines."""
 
@@ -350,51 +250,9 @@
         else:
             snapshot.learn(self._dispatcher, values)
 
-    def movable(self, job: Job) -> bool:
-        """Whether all that is out for it is with the instances, and nothing hangs on this process's
-        connections."""
-        out = [attempt for attempt in job.attempts if not attempt.over]
-        return (
-            not job.answered
-            and job.bound is None
-            and not job.committed
-            and bool(out)
-            and all(each.accepted and not each.stopping for each in out)
-        )
-
     def pack(self, job: Job) -> dict[str, Any]:
         """A job that is movable as plain values, but for its body."""
-        request = job.request
-        return {
-            "txn": request.txn,
-            "remaining": request.remaining,
-            "method": request.method.decode(),
-            "target": request.target.decode("latin-1"),
-            "slots": request.slots,
-            "memory": request.memory,
-            "headers": [(name.decode("latin-1"), value.decode("latin-1")) for name, value in request.headers],
-            "key": request.key,
-            "is_repeat": request.is_repeat,
-            "deadline": job.deadline,
-            "taken": job.taken,
-            "cls": snapshot.pack_class(job.cls),
-            "most": job.most,
-            "rules": snapshot.job(self._dispatcher, job.number),
-            "executions": [
-                {
-                    "instance": e.instance.decode(),
-                    "sent": e.sent,
-                    "timeout_at": e.timeout_at,
-                    "over": e.over,
-                    "started": e.started,
-                    "outcome": e.outcome,
-                    "written": e.written,
-                    "accepted": e.accepted,
-                    "nacked": e.nacked,
-                }
-                for e in job.attempts
-            ],
-        }
+        return job_transfer.pack(job, snapshot.job(self._dispatcher, job.number))
 
     def release(self, job: Job) -> None:
         """Another process has the job: it is none of this one's any more, and nothing is stopped for it."""
@@ -406,37 +264,14 @@
 
     def take_over(self, values: dict[str, Any], body: bytes, reply: Reply, shift: int) -> Job:
         """Hold a job that another process packed, from here on as if it had been taken here."""
-        request = Request(
-            values["txn"],
-            0,
-            values["remaining"],
-            values["method"].encode(),
-            values["target"].encode("latin-1"),
-            [(name.encode("latin-1"), value.encode("latin-1")) for name, value in values["headers"]],
-            body,
-            values["slots"],
-            values["memory"],
-            values["key"],
-            values["is_repeat"],
-        )
+        request = job_transfer.unpack_request(values, body)
         self._count += 1
-        cls = snapshot.unpack_class(values["cls"])
-        job = Job(
-            self._count,
-            request,
-            reply,
-            values["deadline"] + shift,
-            cls,
-            values["most"],
-            values["taken"] + shift,
-        )
+        job = job_transfer.unpack_job(values, request, self._count, reply, shift)
         for told in values["executions"]:
             attempt = self._attempt(
                 job, told["instance"].encode(), told["sent"] + shift, told["timeout_at"] + shift
             )
-            for name in ("over", "started", "written", "accepted", "nacked"):
-                setattr(attempt, name, told[name])
-            attempt.outcome = None if told["outcome"] is None else Outcome(told["outcome"])
+            job_transfer.restore(attempt, told)
             job.attempts.append(attempt)
         self._hold(job)
         for attempt in [e for e in job.attempts if not e.over]:
@@ -444,7 +279,7 @@
         if values["rules"] is not None:
             self._carry_out(
                 snapshot.learn_job(
-                    self._dispatcher, self._loop.now(), job.number, cls, job.most, values["rules"], shift
+                    self._dispatcher, self._loop.now(), job.number, job.cls, job.most, values["rules"], shift
                 )
             )
         return job
--- a/tests/grpc/test_calls.py
+++ b/tests/grpc/test_calls.py
@@ -11,8 +11,8 @@
 from pulleyroute.grpc.messages import framed
 from pulleyroute.grpc.status import TABLE
 from pulleyroute.net import http2
-from pulleyroute.net.host import Ending
 from pulleyroute.net.http2 import Limits
+from pulleyroute.net.requests import Ending
 from tests.grpc.scene import HEAD, Scene
 from tests.net.scene import MS, SECOND
 
--- a/tests/grpc/test_pure.py
+++ b/tests/grpc/test_pure.py
@@ -20,7 +20,7 @@
 from pulleyroute.grpc.status import Status, from_http, from_reset, quote, read_status, unquote
 from pulleyroute.interface import Outcome
 from pulleyroute.net.flood_limits import ALLOWED, FloodLimits
-from pulleyroute.net.host import Ending
+from pulleyroute.net.requests import Ending
 
 GOOD = [
     (b":method", b"POST"),
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -145,6 +145,8 @@
                 "net.buffers",
                 "net.config",
                 "net.host",
+                "net.requests",
+                "net.job_transfer",
                 "net.lifecycle",
                 "net.metrics",
                 "net.handover",
