Keep what a watch of the store tells while the whole is being read

Cause: Agent._read replaced the mirror by an answer older than what the watch had told meanwhile, and those events come no second time: they were missing until the whole was read again, 10 s later. No permit hangs on it, since its transaction compares revisions.

Change: events with a later revision than the answer's are kept, unless the store went back. The test fails without the mend.

--- a/pulleyroute/fleet/agent.py
+++ b/pulleyroute/fleet/agent.py
@@ -98,6 +98,7 @@
         self._right: Right | None = None
         self._beat_at = 0
         self._mirror: dict[bytes, Item] = {}
+        self._heard_meanwhile: dict[bytes, Item] | None = None  # by the watch, while the whole is read
         self._read_at = 0  # the revision of the last reading of the whole
         self._fresh_at = 0  # when it was asked for
         self._known: Known | None = None  # of the mirror; None once that has changed
@@ -181,12 +182,20 @@
     def _read(self) -> Coroutine[None]:
         """The whole, as it stands."""
         asked = self._loop.now()
-        revision, items = yield from self.client.range(self._keys.prefix, self._keys.end)
-        if revision < self._read_at:
+        heard = self._heard_meanwhile = {}
+        try:
+            revision, items = yield from self.client.range(self._keys.prefix, self._keys.end)
+        finally:
+            self._heard_meanwhile = None
+        regressed = revision < self._read_at
+        if regressed:
             logger.bind(event="fleet.regressed", revision=revision).warning(
                 "fleet: the store went back from revision {} to {}", self._read_at, revision
             )
         self._mirror = {item.key: item for item in items}
+        if not regressed:
+            # The watch may be ahead of the answer, and what it told meanwhile comes no second time.
+            self._mirror.update({key: item for key, item in heard.items() if item.mod > revision})
         self._read_at, self._fresh_at, self._known = revision, asked, None
 
     def _watching(self, start: int) -> Coroutine[None]:
@@ -198,10 +207,12 @@
 
     def _heard(self, items: list[Item], revision: int) -> None:
         for item in items:
-            # Guards against events from before the last reading: it has them already.
+            # The last reading has what came before it.
             if item.mod > self._read_at:
                 self._mirror[item.key] = item
                 self._known = None
+                if self._heard_meanwhile is not None:
+                    self._heard_meanwhile[item.key] = item
         if self._known is None:
             self.moved()
 
--- a/tests/fleet/test_agent.py
+++ b/tests/fleet/test_agent.py
@@ -9,7 +9,7 @@
 from pulleyroute.fleet.drains import Bounds, Part
 from pulleyroute.fleet.operate import Operator, Refused
 from pulleyroute.fleet.runners import Runner, RunnerBounds
-from pulleyroute.fleet.store import Client
+from pulleyroute.fleet.store import Client, Item
 from pulleyroute.net.buffers import BufferPool
 from pulleyroute.net.lifecycle import Phase
 from tests.fleet.test_store import drive
@@ -253,6 +253,27 @@
     assert fleet.agents["a"].client.calls - before < 60
 
 
+def test_what_the_watch_tells_while_the_whole_is_read_is_not_lost(fleet):
+    # Failure: an answer older than the watch took back what that had told, for 10 s; 50 that started together
+    # needed as long to know of each other.
+    together(fleet, "a")
+    agent = fleet.agents["a"]
+    real, behind = agent.client.range, agent._read_at
+    newer = Item(agent._keys.of("word", "b"), b"{}", behind + 5, behind + 5, 1)
+    older = Item(agent._keys.of("word", "c"), b"{}", behind, behind, 1)
+
+    def overtaken(start, end):
+        agent._heard([newer, older], behind + 5)
+        return (yield from real(start, end))
+
+    agent.client.range = overtaken
+    drive(fleet.loop, agent._read(), lambda: fleet.loop.skip(10_000))
+    assert agent._mirror[newer.key] == newer and older.key not in agent._mirror
+    agent.client.range = real
+    drive(fleet.loop, agent._read(), lambda: fleet.loop.skip(10_000))
+    assert newer.key not in agent._mirror  # the store does not have it
+
+
 def test_a_compacted_store_is_read_anew(fleet):
     together(fleet, "a", "b")
     fleet.server.faults.silent_watches = True
