Hollow fleet members: what control costs a member and the store, by fleet size

Need: the target's fleet has 5,700 dispatchers, and one machine bears a few hundred processes. What a member costs the store, discovery and itself has to be seen at sizes that processes of their own do not reach.

A hollow member is a `Service` without a listener with its agent, so that it is built by the code that `pulleyroute serve` runs; many share a process and a loop. Ruled out: agents with a made-up service, as `fleet_rest.py` has them, since decisions and discovery client would be missing; counting in the store's stand-in, which real members of another kind could not be compared by: the counters stand in the stream that both kinds use; all members of a large fleet alive, since each rebuilds all records at each change, which is cubic on shared cores: beyond some hundred, nine live and the others are records in the store.

--- /dev/null
+++ b/benchmarks/capacity/hollow.py
@@ -0,0 +1,190 @@
+"""Hollow members: what control costs a member, the store and discovery, and what breaks first, by fleet size.
+
+    python -m benchmarks.capacity.hollow [--members N ...] [--recorded N ...] [--quick] [--out FILE]
+
+A hollow member is what `pulleyroute serve` builds, without a listener: decisions, discovery client, agent
+and store client, many members in a process, against stand-ins of the store and discovery over loopback.
+`--members` plays fleets whose members all live. `--recorded` plays fleets of which nine members live, one
+in each zone, and the others are records in the store: it shows what a member costs in a fleet of that size,
+and what the store answers it, without the load of the others. Prints a table, and writes all that was
+measured as JSON to `--out`.
+"""
+
+from __future__ import annotations
+
+import argparse
+import os
+import resource
+import sys
+from collections.abc import Callable, Sequence
+from pathlib import Path
+
+from loguru import logger
+
+from benchmarks.capacity.hollow_compare import compare
+from benchmarks.capacity.hollow_fleet import ZONES, Size
+from benchmarks.capacity.hollow_play import QUICK, Times, play
+from benchmarks.capacity.hollow_process import NoAnswer
+from benchmarks.capacity.hollow_results import Comparison, Play, Results, read_results, write_results
+
+MEMBERS, RECORDED = [10, 30, 100], [1000, 5700]
+QUICK_MEMBERS, QUICK_RECORDED = [10], [300]
+INSTANCES = 90
+MOST_MEMBERS, MOST_RECORDED, MOST_INSTANCES = 5700, 20_000, 100_000
+COMPARED, MOST_COMPARED = 5, 50  # real dispatchers, beside as many hollow ones
+DESCRIPTORS_A_MEMBER = 3  # two watches and a call
+RESERVE = 100  # descriptors of a process beside its members'
+
+
+def whole(least: int, most: int) -> Callable[[str], int]:
+    """A whole number within bounds, as an argument's type."""
+
+    def read(text: str) -> int:
+        try:
+            number = int(text)
+        except ValueError:
+            number = least - 1
+        if not least <= number <= most:
+            raise argparse.ArgumentTypeError(
+                f"expected a whole number from {least} to {most}, found {text!r}"
+            )
+        return number
+
+    return read
+
+
+def parse(arguments: list[str]) -> argparse.Namespace:
+    """The arguments; ends with status 2 and one clear line where they can't be used."""
+    parser = argparse.ArgumentParser(
+        prog="python -m benchmarks.capacity.hollow",
+        description="Play fleets of hollow members against stand-ins, and measure what control costs.",
+    )
+    parser.add_argument("--members", type=whole(1, MOST_MEMBERS), nargs="*", metavar="N")
+    parser.add_argument("--recorded", type=whole(ZONES + 1, MOST_RECORDED), nargs="*", metavar="N")
+    parser.add_argument("--instances", type=whole(1, MOST_INSTANCES), default=INSTANCES, metavar="N")
+    parser.add_argument("--compare", type=whole(1, MOST_COMPARED), metavar="N", help="real dispatchers")
+    parser.add_argument("--quick", action="store_true", help="small sizes and short windows")
+    parser.add_argument("--out", type=Path, metavar="FILE", help="JSON; plays of other sizes in it stay")
+    made = parser.parse_args(arguments)
+    chosen = made.members is not None or made.recorded is not None or made.compare is not None
+    if not chosen:
+        made.members, made.recorded = (QUICK_MEMBERS, QUICK_RECORDED) if made.quick else (MEMBERS, RECORDED)
+        made.compare = None if made.quick else COMPARED
+    limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    needed = max(made.members or [0]) * DESCRIPTORS_A_MEMBER + RESERVE
+    if needed > limit:
+        parser.error(f"--members: {max(made.members)} need {needed} descriptors, the limit is {limit}")
+    if made.out is not None and not made.out.parent.is_dir():
+        parser.error(f"--out: there is no directory {made.out.parent}")
+    if made.out is not None:
+        try:
+            read_results(made.out)
+        except ValueError as exc:
+            parser.error(f"--out: {made.out}: not a file of this command: {exc}")
+    return made
+
+
+def sizes(made: argparse.Namespace) -> list[Size]:
+    """What is to be played."""
+    lives = [Size(members, 0, made.instances) for members in made.members or []]
+    records = [Size(ZONES, fleet - ZONES, made.instances) for fleet in made.recorded or []]
+    return lives + records
+
+
+def main(arguments: list[str]) -> int:
+    """Play what is asked for; 1 where a comparison could not be made."""
+    made = parse(arguments)
+    logger.remove()
+    times = QUICK if made.quick else Times()
+    results = read_results(made.out) if made.out is not None else Results()
+    results.cores = os.cpu_count() or 0
+    print(line(COLUMNS))
+    print(line(["---"] * len(COLUMNS)))
+    for size in sizes(made):
+        played = play(size, times)
+        print(row(played), flush=True)
+        results.add(played)
+        _keep(results, made.out)
+    if made.compare is None:
+        return 0
+    try:
+        results.comparison = compare(made.compare, made.compare, times.window)
+    except NoAnswer as exc:
+        print(f"hollow: the comparison was not made: {exc}", file=sys.stderr)
+        return 1
+    print(compared(results.comparison))
+    _keep(results, made.out)
+    return 0
+
+
+def _keep(results: Results, out: Path | None) -> None:
+    if out is not None:
+        write_results(results, out)
+
+
+COLUMNS = (
+    "members",
+    "of them recorded",
+    "registered, p50 / p99 s",
+    "calls/s",
+    "bytes/s",
+    "core",
+    "memory, KB",
+    "store's core",
+    "zone lost, s",
+    "zone back, s",
+    "ended by",
+)
+
+
+def line(cells: Sequence[str]) -> str:
+    """A row of the table."""
+    return "| " + " | ".join(cells) + " |"
+
+
+def row(played: Play) -> str:
+    """One play as a row of the table; rest's figures are for one live member."""
+    stages = {stage.name: stage for stage in played.stages}
+
+    def known(name: str) -> str:
+        stage = stages.get(name)
+        return f"{stage.times['fleet_known'].longest:.2f}" if stage is not None and stage.complete else "-"
+
+    start = stages.get("start")
+    registered = start.times["registered"] if start is not None else None
+    rest = played.rest
+    cells = [
+        str(played.members + played.recorded),
+        str(played.recorded),
+        f"{registered.p50:.2f} / {registered.p99:.2f}" if registered is not None else "-",
+        *(
+            [
+                f"{rest.calls:.2f}",
+                f"{rest.store_bytes + rest.discovery_bytes:.0f}",
+                f"{rest.member_cpu:.5f}",
+                f"{rest.member_memory / 1000:.0f}",
+                f"{rest.store_cpu:.3f}",
+            ]
+            if rest is not None
+            else ["-"] * 5
+        ),
+        known("zone lost"),
+        known("zone back"),
+        played.ended_by or "-",
+    ]
+    return line(cells)
+
+
+def compared(made: Comparison) -> str:
+    """The ratios of a hollow member's cost to a real one's, each window's."""
+    lines = []
+    for name in ("cpu", "calls", "store_bytes", "discovery_bytes"):
+        each = getattr(made, name)
+        ratios = ", ".join(f"{value:.2f}" for value in each.ratios)
+        spread = f"{each.real_least:.2f} to {each.real_most:.2f}"
+        lines.append(f"{name}: hollow over real {ratios}; single real ones over their mean {spread}")
+    return "\n".join(lines)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/benchmarks/capacity/hollow_compare.py
@@ -0,0 +1,121 @@
+"""Hollow members beside real `pulleyroute serve` processes in one fleet: what each costs at rest."""
+
+from __future__ import annotations
+
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from benchmarks.capacity.hollow_fleet import Fleet, Size, peer_count
+from benchmarks.capacity.hollow_member import Report
+from benchmarks.capacity.hollow_process import NoAnswer, Process
+from benchmarks.capacity.hollow_results import Comparison, Ratio, ratio
+from benchmarks.capacity.hollow_traffic import Count
+
+WINDOWS = 3
+LOOK = 0.2  # seconds between two questions whether all know of each other
+PATIENCE = 60.0  # seconds for all to come together
+SETTLE = 5.0  # seconds
+
+
+@dataclass(slots=True, frozen=True)
+class _Sample:
+    """What one process has used and exchanged so far. `cpu` in seconds, `memory` in bytes."""
+
+    cpu: float
+    memory: int
+    store: Count
+    discovery: Count
+
+
+def compare(hollow: int, real: int, window: float) -> Comparison:
+    """Measure both over a few windows of so many seconds; raises `NoAnswer` where one does not answer."""
+    size = Size(hollow, real, instances=90)
+    with tempfile.TemporaryDirectory(prefix="hollow-") as folder, Fleet(size, Path(folder)) as fleet:
+        members = fleet.prepare("all")
+        empty = members.usage().memory
+        fleet.start_real(range(hollow, hollow + real))
+        members.ask({"do": "start"})
+        members.ask({"do": "expect", "serving": size.fleet, "revision": 1, "since": 0})
+        _wait(members)
+        time.sleep(SETTLE)
+        samples = [_sample(fleet, members)]
+        started = [time.monotonic()]
+        for _ in range(WINDOWS):
+            time.sleep(window)
+            started.append(time.monotonic())
+            samples.append(_sample(fleet, members))
+    return _judge(size, samples, started, empty, window)
+
+
+def _wait(members: Process) -> None:
+    until = time.monotonic() + PATIENCE
+    while members.ask({"do": "look"})["waiting"]:
+        if time.monotonic() > until:
+            raise NoAnswer(f"hollow and real members did not come together in {PATIENCE:.0f} s")
+        time.sleep(LOOK)
+
+
+def _sample(fleet: Fleet, members: Process) -> list[_Sample]:
+    """Of the process of hollow members first, then of each real one."""
+    used = members.usage()
+    report = Report(**members.ask({"do": "report"}))
+    samples = [
+        _Sample(
+            used.cpu,
+            used.memory,
+            peer_count(report.traffic, fleet.store_port),
+            peer_count(report.traffic, fleet.discovery_port),
+        )
+    ]
+    for process in fleet.real:
+        used = process.usage()
+        samples.append(
+            _Sample(
+                used.cpu,
+                used.memory,
+                fleet.real_count(process, fleet.store_port),
+                fleet.real_count(process, fleet.discovery_port),
+            )
+        )
+    return samples
+
+
+def _judge(
+    size: Size, samples: list[list[_Sample]], started: list[float], empty: int, window: float
+) -> Comparison:
+    last = samples[-1]
+
+    def by_window(value: str) -> Ratio:
+        hollow, real = [], []
+        for number in range(len(samples) - 1):
+            seconds = started[number + 1] - started[number]
+            spent = [
+                (_value(after, value) - _value(before, value)) / seconds
+                for before, after in zip(samples[number], samples[number + 1], strict=True)
+            ]
+            hollow.append(spent[0] / size.members)
+            real.append(spent[1:])
+        return ratio(hollow, real)
+
+    return Comparison(
+        hollow=size.members,
+        real=size.recorded,
+        window=window,
+        cpu=by_window("cpu"),
+        calls=by_window("calls"),
+        store_bytes=by_window("store_bytes"),
+        discovery_bytes=by_window("discovery_bytes"),
+        hollow_memory=(last[0].memory - empty) / size.members,
+        real_memory=sum(each.memory for each in last[1:]) / size.recorded,
+    )
+
+
+def _value(sample: _Sample, name: str) -> float:
+    if name == "cpu":
+        return sample.cpu
+    if name == "calls":
+        return sample.store.connections
+    count = sample.store if name == "store_bytes" else sample.discovery
+    return count.sent + count.received
--- /dev/null
+++ b/benchmarks/capacity/hollow_fleet.py
@@ -0,0 +1,212 @@
+"""The processes of one play: stand-ins of the store and discovery, hollow members, real dispatchers."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import signal
+from base64 import b64encode
+from dataclasses import dataclass
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+from benchmarks.capacity.hollow_config import GROUP, config_text, member_name, zone_of
+from benchmarks.capacity.hollow_process import Process, Usage
+from benchmarks.capacity.hollow_traffic import Count
+from pulleyroute.fleet import records
+from pulleyroute.fleet.records import Keys
+
+ZONES = 9
+TWO_PROCESSES = 150  # live members from which on one process does not keep up with a start
+RECORD_BATCH = 50  # members whose records are written in one transaction
+RECORD_LEASE = 3600  # seconds: the records of members that are only recorded stay for the play
+STORE_TIME = 30.0  # seconds for one call of the preparation
+
+
+@dataclass(slots=True, frozen=True)
+class Size:
+    """How large a fleet is: members that live, members that are only recorded in the store, instances."""
+
+    members: int
+    recorded: int
+    instances: int
+
+    @property
+    def fleet(self) -> int:
+        """Members that the store tells of."""
+        return self.members + self.recorded
+
+    @property
+    def zones(self) -> int:
+        """Nine, or one a member in fleets smaller than that."""
+        return min(ZONES, self.members)
+
+    @property
+    def live_in_last_zone(self) -> int:
+        """Live members of the zone that is lost."""
+        return len(range(self.zones - 1, self.members, self.zones))
+
+    @property
+    def in_last_zone(self) -> int:
+        """All members of the zone that is lost."""
+        return len(range(self.zones - 1, self.fleet, self.zones))
+
+    @property
+    def processes(self) -> int:
+        """Processes of live members beside the last zone's."""
+        return 1 if self.members < TWO_PROCESSES else 2
+
+
+class Fleet:
+    """Owns the processes of one play; use as a context manager."""
+
+    def __init__(self, size: Size, folder: Path) -> None:
+        self.size, self.folder = size, folder
+        self.rest: list[Process] = []  # members of all zones but the last
+        self.zone: Process | None = None  # members of the last zone
+        self.real: list[Process] = []
+        self._all: list[Process] = []
+        self._leases: dict[int, str] = {}  # by zone, of its recorded members
+        self.store = self._start("store", ["-m", "pulleyroute.cli", "emulate", "store", "127.0.0.1:0"])
+        self.store_port = int(self.store.line().rpartition(":")[2])
+        self.discovery = self._start(
+            "discovery", ["-m", "benchmarks.capacity.hollow_discovery", str(size.instances), str(size.zones)]
+        )
+        self.discovery_port = int(self.discovery.read()["port"])
+
+    def __enter__(self) -> Fleet:
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, exc: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        for process in reversed(self._all):
+            process.stop()
+
+    def _start(self, name: str, command: list[str]) -> Process:
+        process = Process(name, command, self.folder)
+        self._all.append(process)
+        return process
+
+    def _write_config(self, number: int) -> Path:
+        path = self.folder / f"{member_name(number)}.hcl"
+        text = config_text(number, self.size.fleet, self.size.zones, self.store_port, self.discovery_port)
+        path.write_text(text)
+        return path
+
+    # Members
+
+    def prepare(self, which: str, part: int = 0, parts: int = 1) -> Process:
+        """A process of hollow members, ready to start them: `rest`, `last` or `all` of the live ones."""
+        path = self._write_config(0)
+        live = ["0", str(self.size.members), str(self.size.zones)]
+        command = ["-m", "benchmarks.capacity.hollow_member", str(path), *live, which, str(part), str(parts)]
+        process = self._start(f"members-{which}-{part}", command)
+        process.read()
+        return process
+
+    def prepare_all(self) -> None:
+        """The processes of all live members, of the last zone's apart where there is more than one zone."""
+        if self.size.zones == 1:
+            self.rest = [self.prepare("all")]
+            return
+        parts = self.size.processes
+        self.rest = [self.prepare("rest", part, parts) for part in range(parts)]
+        self.zone = self.prepare("last")
+
+    @property
+    def members(self) -> list[Process]:
+        """The processes of hollow members that are there."""
+        return self.rest if self.zone is None else [*self.rest, self.zone]
+
+    def start_real(self, numbers: range) -> None:
+        """`pulleyroute serve` processes for these members."""
+        for number in numbers:
+            command = ["-m", "benchmarks.capacity.hollow_real", str(self._write_config(number))]
+            self.real.append(self._start(f"real-{number}", command))
+
+    def lose_zone(self) -> None:
+        """Kill the process that holds the last zone's members, and end the recorded ones' lease."""
+        assert self.zone is not None
+        self.zone.kill()
+        self._all.remove(self.zone)
+        self.zone = None
+        lease = self._leases.pop(self.size.zones - 1, None)
+        if lease is not None:
+            self._call("/v3/lease/revoke", {"ID": lease})
+
+    def change_instances(self, phase: str) -> int:
+        """Put the last zone's instances into a phase; returns the list's revision that says so."""
+        zone = zone_of(self.size.zones - 1, self.size.zones)
+        return int(self.discovery.ask({"zone": zone, "phase": phase})["revision"])
+
+    def real_count(self, process: Process, port: int) -> Count:
+        """What a real dispatcher has exchanged with a peer."""
+        process.signal(signal.SIGUSR1)
+        return peer_count(process.read()["traffic"], port)
+
+    def usages(self) -> dict[str, Usage]:
+        """What each process has used so far."""
+        return {process.name: process.usage() for process in self._all}
+
+    # Records
+
+    def record_members(self) -> None:
+        """Write the records of the members that do not live, as their agents would have written them."""
+        for zone in range(self.size.zones):
+            self.record_zone(zone)
+
+    def record_zone(self, zone: int) -> None:
+        """The same of one zone. One lease holds them, so that their end is one revision, not one each."""
+        numbers = [
+            number for number in range(self.size.members, self.size.fleet) if number % self.size.zones == zone
+        ]
+        if not numbers:
+            return
+        lease = self._call("/v3/lease/grant", {"TTL": str(RECORD_LEASE)})["ID"]
+        self._leases[zone] = lease
+        keys = Keys(GROUP)
+        for first in range(0, len(numbers), RECORD_BATCH):
+            operations = []
+            for number in numbers[first : first + RECORD_BATCH]:
+                operations += _records(keys, number, self.size.zones, lease)
+            self._call("/v3/kv/txn", {"compare": [], "success": operations, "failure": []})
+
+    def range_bytes(self) -> int:
+        """How many bytes the answer to an agent's reading of the whole has."""
+        keys = Keys(GROUP)
+        return len(self._post("/v3/kv/range", {"key": _text(keys.prefix), "range_end": _text(keys.end)}))
+
+    def _call(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        value: dict[str, Any] = json.loads(self._post(path, body))
+        return value
+
+    def _post(self, path: str, body: dict[str, Any]) -> bytes:
+        connection = http.client.HTTPConnection("127.0.0.1", self.store_port, timeout=STORE_TIME)
+        try:
+            connection.request("POST", path, json.dumps(body))
+            return connection.getresponse().read()
+        finally:
+            connection.close()
+
+
+def peer_count(traffic: dict[str, dict[str, int]], port: int) -> Count:
+    """A report's count of one peer."""
+    return Count(**traffic.get(str(port), {}))
+
+
+def _text(data: bytes) -> str:
+    return b64encode(data).decode()
+
+
+def _records(keys: Keys, number: int, zones: int, lease: str) -> list[dict[str, Any]]:
+    name, token = member_name(number), f"{number:016x}"
+    seat = records.encode(
+        mark=f"{token}-1", incarnation=1, token=token, zone=zone_of(number, zones), region=""
+    )
+    word = records.encode(mark=f"{token}-2", incarnation=1, phase="serving", version="v1")
+    return [
+        {"request_put": {"key": _text(keys.of("seat", name)), "value": _text(seat), "lease": "0"}},
+        {"request_put": {"key": _text(keys.of("word", name)), "value": _text(word), "lease": lease}},
+    ]
--- /dev/null
+++ b/benchmarks/capacity/hollow_play.py
@@ -0,0 +1,248 @@
+"""One play of a hollow fleet: all started at once, at rest, a zone lost and back."""
+
+from __future__ import annotations
+
+import os
+import tempfile
+import time
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+from benchmarks.capacity.hollow_fleet import Fleet, Size, peer_count
+from benchmarks.capacity.hollow_member import Report
+from benchmarks.capacity.hollow_process import NoAnswer, Usage, now
+from benchmarks.capacity.hollow_results import Play, Quantiles, RestCost, Stage, quantiles
+from benchmarks.capacity.hollow_traffic import Count
+
+LOOK = 0.2  # seconds between two questions whether all members know
+MEMORY_SHARE = 0.5  # of the machine's, that a play may hold
+# The stages in their order, with the times of a `Report` that say something in them.
+WAITED: dict[str, tuple[str, ...]] = {
+    "start": ("listed", "registered", "fleet_known"),
+    "rest": (),
+    "zone lost": ("list_known", "fleet_known"),
+    "zone back": ("list_known", "fleet_known"),
+}
+
+
+class Broken(Exception):
+    """A stage did not come to its end; the text says what was missing."""
+
+
+@dataclass(slots=True, frozen=True)
+class Times:
+    """Bounds in seconds: each stage's patience, the pause before the window at rest, and the window.
+
+    A watch that hears nothing is opened anew after 10 s (`fleet/agent.py`, SILENCE), so that a window is a
+    multiple of that.
+    """
+
+    patience: float = 40.0
+    settle: float = 5.0
+    window: float = 20.0
+
+
+QUICK = Times(patience=20.0, settle=1.0, window=10.0)
+
+
+@dataclass(slots=True, frozen=True)
+class _Mark:
+    """What was used and exchanged up to a time."""
+
+    at: int
+    usages: dict[str, Usage]
+    calls: int
+    store: Count
+    discovery: Count
+
+
+class _Player:
+    """Carries the stages out and keeps what they measure."""
+
+    def __init__(self, fleet: Fleet, times: Times, play: Play) -> None:
+        self._fleet, self._times, self._play = fleet, times, play
+        self._size = fleet.size
+
+    def run(self) -> None:
+        """All stages, in their order; raises `Broken` or `NoAnswer` at the first that fails."""
+        fleet = self._fleet
+        if self._size.recorded:
+            fleet.record_members()
+        fleet.prepare_all()
+        empty = {process.name: process.usage().memory for process in fleet.members}
+        self._start()
+        self._rest(empty)
+        if fleet.zone is None:
+            return
+        self._lose_zone()
+        self._return_zone()
+
+    # Stages
+
+    def _start(self) -> None:
+        mark = self._mark()
+        for process in self._fleet.members:
+            process.send({"do": "start"})
+            process.send({"do": "expect", "serving": self._size.fleet, "revision": 1, "since": mark.at})
+        for process in self._fleet.members:
+            process.read()
+            process.read()
+        self._finish("start", mark, self._wait(), self._size.members)
+
+    def _rest(self, empty: dict[str, int]) -> None:
+        time.sleep(self._times.settle)
+        mark = self._mark()
+        time.sleep(self._times.window)
+        stage = self._finish("rest", mark, True, self._size.members)
+        members, seconds = stage.members, stage.seconds
+        member_cpu = sum(stage.cpu[process.name] for process in self._fleet.members)
+        memory = sum(stage.memory[name] - before for name, before in empty.items())
+        store = stage.store.sent + stage.store.received
+        self._play.rest = RestCost(
+            window=seconds,
+            calls=stage.calls / members / seconds,
+            store_bytes=store / members / seconds,
+            discovery_bytes=(stage.discovery.sent + stage.discovery.received) / members / seconds,
+            member_cpu=member_cpu / members / seconds,
+            member_memory=memory / members,
+            store_calls=stage.calls / seconds,
+            store_total_bytes=store / seconds,
+            store_cpu=stage.cpu["store"] / seconds,
+            store_memory=stage.memory["store"],
+            range_bytes=self._fleet.range_bytes(),
+        )
+        if stage.without_record or stage.least_serving < self._size.fleet:
+            raise Broken(
+                f"at rest members lost their leases: {stage.without_record} without a record, "
+                f"{stage.least_serving} known to serve of {self._size.fleet}"
+            )
+
+    def _lose_zone(self) -> None:
+        fleet = self._fleet
+        left = self._size.members - self._size.live_in_last_zone
+        lost_at = now()
+        fleet.lose_zone()
+        mark = replace(self._mark(), at=lost_at)
+        revision = fleet.change_instances("left")
+        serving = self._size.fleet - self._size.in_last_zone
+        for process in fleet.members:
+            process.ask({"do": "expect", "serving": serving, "revision": revision, "since": mark.at})
+        self._finish("zone lost", mark, self._wait(), left)
+
+    def _return_zone(self) -> None:
+        fleet = self._fleet
+        fleet.zone = fleet.prepare("last")
+        mark = self._mark()
+        fleet.zone.send({"do": "start"})
+        fleet.record_zone(self._size.zones - 1)
+        revision = fleet.change_instances("active")
+        expected = {"do": "expect", "serving": self._size.fleet, "revision": revision, "since": mark.at}
+        for process in self._fleet.members:
+            process.send(expected)
+        fleet.zone.read()
+        for process in self._fleet.members:
+            process.read()
+        self._finish("zone back", mark, self._wait(), self._size.members)
+
+    # Measuring
+
+    def _wait(self) -> bool:
+        until = time.monotonic() + self._times.patience
+        while time.monotonic() < until:
+            if not any(process.ask({"do": "look"})["waiting"] for process in self._fleet.members):
+                return True
+            _check_memory(self._fleet)
+            time.sleep(LOOK)
+        return False
+
+    def _reports(self) -> list[Report]:
+        return [Report(**process.ask({"do": "report"})) for process in self._fleet.members]
+
+    def _mark(self) -> _Mark:
+        reports = self._reports()
+        calls, store, discovery = self._exchanged(reports)
+        return _Mark(now(), self._fleet.usages(), calls, store, discovery)
+
+    def _exchanged(self, reports: list[Report]) -> tuple[int, Count, Count]:
+        fleet = self._fleet
+        store, discovery = Count(), Count()
+        for report in reports:
+            store += peer_count(report.traffic, fleet.store_port)
+            discovery += peer_count(report.traffic, fleet.discovery_port)
+        return sum(report.calls for report in reports), store, discovery
+
+    def _finish(self, name: str, mark: _Mark, complete: bool, members: int) -> Stage:
+        """Take the stage's measures; raises `Broken` where it did not come to its end."""
+        after = self._fleet.usages()
+        ended = now()
+        reports = self._reports()
+        calls, store, discovery = self._exchanged(reports)
+        errors: dict[str, int] = {}
+        for report in reports:
+            for text, count in report.errors.items():
+                errors[text] = errors.get(text, 0) + count
+        stage = Stage(
+            name=name,
+            complete=complete,
+            seconds=(ended - mark.at) / 1e6,
+            members=members,
+            calls=calls - mark.calls,
+            store=store - mark.store,
+            discovery=discovery - mark.discovery,
+            cpu={key: used.cpu - _before(mark, key) for key, used in after.items()},
+            memory={key: used.memory for key, used in after.items()},
+            times=_times(reports, members, WAITED[name]),
+            least_serving=min(report.least_serving for report in reports),
+            most_serving=max(report.most_serving for report in reports),
+            without_record=sum(report.without_record for report in reports),
+            longest_turn=max(report.longest_turn for report in reports) / 1e6,
+            errors=errors,
+        )
+        rest = self._play.rest
+        if rest is not None:
+            at_rest = members * stage.seconds
+            stage.above_rest_calls = stage.calls - rest.calls * at_rest
+            stage.above_rest_bytes = stage.store.sent + stage.store.received - rest.store_bytes * at_rest
+        self._play.stages.append(stage)
+        if not complete:
+            raise Broken(_missing(stage, self._times.patience))
+        return stage
+
+
+def _before(mark: _Mark, name: str) -> float:
+    used = mark.usages.get(name)
+    return used.cpu if used is not None else 0.0
+
+
+def _times(reports: list[Report], members: int, names: tuple[str, ...]) -> dict[str, Quantiles]:
+    return {
+        name: quantiles([each for report in reports for each in getattr(report, name)], members)
+        for name in names
+    }
+
+
+def _missing(stage: Stage, patience: float) -> str:
+    counts = ", ".join(f"{name} {each.count}" for name, each in stage.times.items())
+    busy = ", ".join(f"{name} {spent / stage.seconds:.2f}" for name, spent in stage.cpu.items())
+    return f"{stage.name}: not within {patience:.0f} s; of {stage.members}: {counts}; cores used: {busy}"
+
+
+def _check_memory(fleet: Fleet) -> None:
+    """Guard the machine: raises `Broken` where the play holds more than its share of the memory."""
+    held = sum(used.memory for used in fleet.usages().values())
+    limit = MEMORY_SHARE * os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
+    if held > limit:
+        raise Broken(f"the play holds {held / 2**20:.0f} MB of {limit / 2**20:.0f}")
+
+
+def play(size: Size, times: Times) -> Play:
+    """Play all stages at one size; what breaks is in the result, not raised."""
+    result = Play(size.members, size.recorded, size.instances)
+    with tempfile.TemporaryDirectory(prefix="hollow-") as folder, Fleet(size, Path(folder)) as fleet:
+        try:
+            _Player(fleet, times, result).run()
+        except (Broken, NoAnswer, OSError) as exc:
+            result.ended_by = str(exc)
+    done = {stage.name for stage in result.stages}
+    result.not_run = [name for name in WAITED if name not in done and not (size.zones < 2 and "zone" in name)]
+    return result
--- /dev/null
+++ b/benchmarks/capacity/hollow_process.py
@@ -0,0 +1,121 @@
+"""Processes of a hollow fleet as whoever started them sees them: their lines, processor time and memory."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import select
+import subprocess
+import sys
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+PAGE = os.sysconf("SC_PAGE_SIZE")
+ANSWER_TIME = 60.0  # seconds for one line: a process in the middle of a storm answers late
+END_TIME = 5.0  # seconds between SIGTERM and SIGKILL
+
+
+class NoAnswer(Exception):
+    """A process has ended, or was silent for too long; the text says which."""
+
+
+@dataclass(slots=True, frozen=True)
+class Usage:
+    """Processor time in seconds since the process's start, resident memory in bytes."""
+
+    cpu: float
+    memory: int
+
+
+class Process:
+    """One process of this run. Owns its pipes; `stop` ends it."""
+
+    def __init__(self, name: str, command: list[str], folder: Path) -> None:
+        self.name = name
+        with (folder / f"{name}.err").open("ab") as errors:
+            self._process = subprocess.Popen(
+                [sys.executable, *command], stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=errors
+            )
+        assert self._process.stdout is not None
+        self._output = self._process.stdout.fileno()
+        self._rest = b""
+
+    @property
+    def pid(self) -> int:
+        return self._process.pid
+
+    def line(self, patience: float = ANSWER_TIME) -> str:
+        """The next line that it prints; raises `NoAnswer`."""
+        until = time.monotonic() + patience
+        while b"\n" not in self._rest:
+            ready, _, _ = select.select([self._output], [], [], max(0.0, until - time.monotonic()))
+            if not ready:
+                raise NoAnswer(f"{self.name}: no answer in {patience:.0f} s")
+            data = os.read(self._output, 65_536)
+            if not data:
+                raise NoAnswer(f"{self.name}: ended with {self._process.wait()}")
+            self._rest += data
+        line, self._rest = self._rest.split(b"\n", 1)
+        return line.decode()
+
+    def read(self, patience: float = ANSWER_TIME) -> dict[str, Any]:
+        """The next line, which is a JSON object; raises `NoAnswer`."""
+        value: dict[str, Any] = json.loads(self.line(patience))
+        return value
+
+    def send(self, command: dict[str, Any]) -> None:
+        """Give a command, and do not wait for its answer; raises `NoAnswer`."""
+        assert self._process.stdin is not None
+        try:
+            self._process.stdin.write(json.dumps(command).encode() + b"\n")
+            self._process.stdin.flush()
+        except BrokenPipeError:
+            raise NoAnswer(f"{self.name}: ended with {self._process.wait()}") from None
+
+    def ask(self, command: dict[str, Any], patience: float = ANSWER_TIME) -> dict[str, Any]:
+        """Give a command and wait for its answer; raises `NoAnswer`."""
+        self.send(command)
+        return self.read(patience)
+
+    def signal(self, number: int) -> None:
+        """Signal this process alone."""
+        self._process.send_signal(number)
+
+    def usage(self) -> Usage:
+        """What it has used, from the kernel's accounts (`/proc/PID/schedstat`, `statm`); for one thread."""
+        folder = Path(f"/proc/{self.pid}")
+        try:
+            nanoseconds = int((folder / "schedstat").read_text().split()[0])
+            pages = int((folder / "statm").read_text().split()[1])
+        except (OSError, IndexError):
+            raise NoAnswer(f"{self.name}: ended with {self._process.poll()}") from None
+        return Usage(nanoseconds / 1e9, pages * PAGE)
+
+    def kill(self) -> None:
+        """As a lost machine does it: without a last word."""
+        self._process.kill()
+        self._close()
+
+    def stop(self) -> None:
+        """SIGTERM, and SIGKILL where that is not heard."""
+        self._process.terminate()
+        try:
+            self._process.wait(END_TIME)
+        except subprocess.TimeoutExpired:
+            self._process.kill()
+        self._close()
+
+    def _close(self) -> None:
+        self._process.wait()
+        for pipe in (self._process.stdin, self._process.stdout):
+            if pipe is not None and not pipe.closed:
+                with contextlib.suppress(BrokenPipeError):
+                    pipe.close()
+
+
+def now() -> int:
+    """The machine's monotonic clock in microseconds, as all processes of the run read it."""
+    return time.monotonic_ns() // 1000
--- /dev/null
+++ b/tests/capacity/test_hollow.py
@@ -0,0 +1,131 @@
+"""Hollow members at small sizes: they register, hear of a zone lost and back, and are counted. No timing."""
+
+import json
+
+import pytest
+
+from benchmarks.capacity import hollow
+from benchmarks.capacity.hollow_fleet import Size
+from benchmarks.capacity.hollow_member import select
+from benchmarks.capacity.hollow_play import Times, play
+from benchmarks.capacity.hollow_results import (
+    Play,
+    Results,
+    quantiles,
+    ratio,
+    read_results,
+    write_results,
+)
+
+PATIENT = Times(patience=60.0, settle=0.0, window=1.0)
+STAGES = ["start", "rest", "zone lost", "zone back"]
+
+
+def stage(played, name):
+    return next(each for each in played.stages if each.name == name)
+
+
+@pytest.fixture(scope="module")
+def five():
+    return play(Size(members=5, recorded=0, instances=10), PATIENT)
+
+
+def test_all_members_register_and_hear_a_zone_lost_and_back(five):
+    assert five.ended_by == "" and five.not_run == []
+    assert [each.name for each in five.stages] == STAGES
+    assert [each.members for each in five.stages] == [5, 5, 4, 5]
+    assert [each.least_serving for each in five.stages] == [5, 5, 4, 5]
+    assert [each.most_serving for each in five.stages] == [5, 5, 4, 5]
+    assert [each.without_record for each in five.stages] == [0, 0, 0, 0]
+    for each in five.stages:
+        assert all(times.count == times.expected == each.members for times in each.times.values())
+
+
+def test_messages_are_counted_at_the_members(five):
+    start = stage(five, "start")
+    # Of each member: a first reading, a lease, the watch, the claim and the word, each read anew.
+    assert start.calls >= 5 * 7 and start.store.connections == start.calls
+    assert start.discovery.connections == 5
+    assert start.store.sent > 0 and start.store.received > 0
+    lost = stage(five, "zone lost")
+    assert lost.discovery.connections == 0  # what changes comes on the watches that are open
+    assert lost.discovery.received >= 4 * len('"phase": "left"') * 2  # two instances, told to four members
+
+
+def test_a_member_of_a_recorded_fleet_knows_all_of_it_and_each_change_of_a_zone():
+    played = play(Size(members=2, recorded=20, instances=4), PATIENT)
+    assert played.ended_by == "" and played.not_run == []
+    assert [each.least_serving for each in played.stages] == [22, 22, 11, 22]
+    assert played.rest is not None and played.rest.range_bytes > 22 * 300
+
+
+def test_a_play_that_does_not_come_to_its_end_says_where_and_what_was_not_run():
+    played = play(Size(members=2, recorded=0, instances=4), Times(patience=0.0))
+    assert played.ended_by.startswith("start: not within 0 s; of 2: ")
+    assert played.not_run == ["rest", "zone lost", "zone back"]
+
+
+@pytest.mark.parametrize(
+    ("arguments", "said"),
+    [
+        (["--members", "0"], "expected a whole number from 1 to 5700, found '0'"),
+        (["--members", "many"], "expected a whole number from 1 to 5700, found 'many'"),
+        (["--members", "1e3"], "expected a whole number from 1 to 5700, found '1e3'"),
+        (["--recorded", "9"], "expected a whole number from 10 to 20000, found '9'"),
+        (["--instances", "-1"], "expected a whole number from 1 to 100000, found '-1'"),
+        (["--compare", "51"], "expected a whole number from 1 to 50, found '51'"),
+        (["--out", "/nowhere/at/all.json"], "there is no directory /nowhere/at"),
+        (["--size", "3"], "unrecognized arguments"),
+    ],
+)
+def test_bad_arguments_get_one_clear_error(arguments, said, capsys):
+    with pytest.raises(SystemExit) as ended:
+        hollow.main(arguments)
+    assert ended.value.code == 2
+    assert said in capsys.readouterr().err
+
+
+def test_more_members_than_descriptors_are_an_error(monkeypatch, capsys):
+    monkeypatch.setattr(hollow.resource, "getrlimit", lambda which: (1024, 1024))
+    with pytest.raises(SystemExit) as ended:
+        hollow.main(["--members", "309"])
+    assert ended.value.code == 2
+    assert "309 need 1027 descriptors, the limit is 1024" in capsys.readouterr().err
+
+
+def test_a_file_of_something_else_is_not_written_over(tmp_path, capsys):
+    path = tmp_path / "other.json"
+    path.write_text('{"plays": 3}')
+    with pytest.raises(SystemExit):
+        hollow.main(["--quick", "--out", str(path)])
+    assert "not a file of this command" in capsys.readouterr().err
+    assert json.loads(path.read_text()) == {"plays": 3}
+
+
+def test_results_hold_the_latest_play_of_each_size(tmp_path):
+    path = tmp_path / "hollow.json"
+    results = Results(4)
+    for ended in ("first", "second"):
+        results.add(Play(10, 0, 90, ended_by=ended))
+        results.add(Play(9, 991, 90))
+        write_results(results, path)
+        results = read_results(path)
+    assert [(each.members, each.recorded, each.ended_by) for each in results.plays] == [
+        (10, 0, "second"),
+        (9, 991, ""),
+    ]
+
+
+def test_members_are_divided_among_processes_without_rest():
+    numbers, last = range(20), {8, 17}
+    assert set(select(numbers, 9, "last")) == last
+    assert set(select(numbers, 9, "rest")) == set(numbers) - last
+    assert select(numbers, 9, "all") == list(numbers)
+
+
+def test_quantiles_and_ratios():
+    assert quantiles([], 3).count == 0
+    each = quantiles([3_000_000, 1_000_000, 2_000_000], 4)
+    assert (each.count, each.expected, each.p50, each.longest) == (3, 4, 2.0, 3.0)
+    made = ratio([2.0, 1.0], [[1.0, 3.0], [0.5, 1.5]])
+    assert made.ratios == [1.0, 1.0] and (made.real_least, made.real_most) == (0.5, 1.5)
