Hollow fleet: watches of recorded members as a load on the store

Need: a fleet of which nine members live shows what a member costs, but the store bears nine watches where it would bear thousands, so that its own limit stays out of sight.

Ruled out: recorded members that extend leases and read the whole as well, which would be a second agent of the benchmark's own making; what the calls cost is measured with members that live.

--- a/benchmarks/capacity/hollow.py
+++ b/benchmarks/capacity/hollow.py
@@ -6,8 +6,8 @@
 and store client, many members in a process, against stand-ins of the store and discovery over loopback.
 `--members` plays fleets whose members all live. `--recorded` plays fleets of which nine members live, one
 in each zone, and the others are records in the store: it shows what a member costs in a fleet of that size,
-and what the store answers it, without the load of the others. Prints a table, and writes all that was
-measured as JSON to `--out`.
+and what the store answers it, without the load of the others; with `--watched` the store bears their watches
+too. Prints a table, and writes all that was measured as JSON to `--out`.
 """
 
 from __future__ import annotations
@@ -63,6 +63,7 @@
     parser.add_argument("--recorded", type=whole(ZONES + 1, MOST_RECORDED), nargs="*", metavar="N")
     parser.add_argument("--instances", type=whole(1, MOST_INSTANCES), default=INSTANCES, metavar="N")
     parser.add_argument("--compare", type=whole(1, MOST_COMPARED), metavar="N", help="real dispatchers")
+    parser.add_argument("--watched", action="store_true", help="the store holds recorded members' watches")
     parser.add_argument("--quick", action="store_true", help="small sizes and short windows")
     parser.add_argument("--out", type=Path, metavar="FILE", help="JSON; plays of other sizes in it stay")
     made = parser.parse_args(arguments)
@@ -70,10 +71,7 @@
     if not chosen:
         made.members, made.recorded = (QUICK_MEMBERS, QUICK_RECORDED) if made.quick else (MEMBERS, RECORDED)
         made.compare = None if made.quick else COMPARED
-    limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-    needed = max(made.members or [0]) * DESCRIPTORS_A_MEMBER + RESERVE
-    if needed > limit:
-        parser.error(f"--members: {max(made.members)} need {needed} descriptors, the limit is {limit}")
+    _check_descriptors(parser, made)
     if made.out is not None and not made.out.parent.is_dir():
         parser.error(f"--out: there is no directory {made.out.parent}")
     if made.out is not None:
@@ -84,10 +82,24 @@
     return made
 
 
+def _check_descriptors(parser: argparse.ArgumentParser, made: argparse.Namespace) -> None:
+    """End with an error where one process would need more descriptors than it may have."""
+    limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    members = max(made.members or [0])
+    watches = max(made.recorded or [0]) if made.watched else 0
+    for option, count, each in (
+        ("--members", members, DESCRIPTORS_A_MEMBER),
+        ("--recorded", watches, 1),
+    ):
+        needed = count * each + RESERVE
+        if needed > limit:
+            parser.error(f"{option}: {count} need {needed} descriptors, the limit is {limit}")
+
+
 def sizes(made: argparse.Namespace) -> list[Size]:
     """What is to be played."""
     lives = [Size(members, 0, made.instances) for members in made.members or []]
-    records = [Size(ZONES, fleet - ZONES, made.instances) for fleet in made.recorded or []]
+    records = [Size(ZONES, fleet - ZONES, made.instances, made.watched) for fleet in made.recorded or []]
     return lives + records
 
 
--- a/benchmarks/capacity/hollow_fleet.py
+++ b/benchmarks/capacity/hollow_fleet.py
@@ -5,6 +5,7 @@
 import http.client
 import json
 import signal
+import time
 from base64 import b64encode
 from dataclasses import dataclass
 from pathlib import Path
@@ -12,7 +13,7 @@
 from typing import Any
 
 from benchmarks.capacity.hollow_config import GROUP, config_text, member_name, zone_of
-from benchmarks.capacity.hollow_process import Process, Usage
+from benchmarks.capacity.hollow_process import NoAnswer, Process, Usage
 from benchmarks.capacity.hollow_traffic import Count
 from pulleyroute.fleet import records
 from pulleyroute.fleet.records import Keys
@@ -21,16 +22,22 @@
 TWO_PROCESSES = 150  # live members from which on one process does not keep up with a start
 RECORD_BATCH = 50  # members whose records are written in one transaction
 RECORD_LEASE = 3600  # seconds: the records of members that are only recorded stay for the play
+WATCH_TIME = 30.0  # seconds for all watches of recorded members to stand
+LOOK = 0.2  # seconds between two questions whether they do
 STORE_TIME = 30.0  # seconds for one call of the preparation
 
 
 @dataclass(slots=True, frozen=True)
 class Size:
-    """How large a fleet is: members that live, members that are only recorded in the store, instances."""
+    """How large a fleet is: members that live, members that are only recorded in the store, instances.
+
+    `watched`: the store holds a watch of each recorded member too, which nobody acts on.
+    """
 
     members: int
     recorded: int
     instances: int
+    watched: bool = False
 
     @property
     def fleet(self) -> int:
@@ -65,6 +72,7 @@
         self.size, self.folder = size, folder
         self.rest: list[Process] = []  # members of all zones but the last
         self.zone: Process | None = None  # members of the last zone
+        self.watches: Process | None = None  # of recorded members
         self.real: list[Process] = []
         self._all: list[Process] = []
         self._leases: dict[int, str] = {}  # by zone, of its recorded members
@@ -150,6 +158,20 @@
         """What each process has used so far."""
         return {process.name: process.usage() for process in self._all}
 
+    def open_watches(self) -> None:
+        """Open the recorded members' watches, and wait until each stands or is lost; raises `NoAnswer`."""
+        self.watches = self._start(
+            "watches",
+            ["-m", "benchmarks.capacity.hollow_watches", str(self.store_port), str(self.size.recorded)],
+        )
+        state = self.watches.read()
+        until = time.monotonic() + WATCH_TIME
+        while state["standing"] + state["lost"] < self.size.recorded:
+            if time.monotonic() > until:
+                raise NoAnswer(f"watches: {state['standing']} of {self.size.recorded} in {WATCH_TIME:.0f} s")
+            time.sleep(LOOK)
+            state = self.watches.ask({})
+
     # Records
 
     def record_members(self) -> None:
--- a/benchmarks/capacity/hollow_play.py
+++ b/benchmarks/capacity/hollow_play.py
@@ -68,6 +68,8 @@
         fleet = self._fleet
         if self._size.recorded:
             fleet.record_members()
+        if self._size.watched:
+            fleet.open_watches()
         fleet.prepare_all()
         empty = {process.name: process.usage().memory for process in fleet.members}
         self._start()
@@ -237,10 +239,12 @@
 
 def play(size: Size, times: Times) -> Play:
     """Play all stages at one size; what breaks is in the result, not raised."""
-    result = Play(size.members, size.recorded, size.instances)
+    result = Play(size.members, size.recorded, size.instances, size.watched)
     with tempfile.TemporaryDirectory(prefix="hollow-") as folder, Fleet(size, Path(folder)) as fleet:
         try:
             _Player(fleet, times, result).run()
+            if fleet.watches is not None:
+                result.watches_lost = int(fleet.watches.ask({})["lost"])
         except (Broken, NoAnswer, OSError) as exc:
             result.ended_by = str(exc)
     done = {stage.name for stage in result.stages}
--- a/benchmarks/capacity/hollow_results.py
+++ b/benchmarks/capacity/hollow_results.py
@@ -76,20 +76,25 @@
 
 @dataclass(slots=True)
 class Play:
-    """One play: its size, its stages as far as they went, and why it went no further."""
+    """One play: its size, its stages as far as they went, and why it went no further.
+
+    `watched`: recorded members had watches at the store, of which `watches_lost` ended during the play.
+    """
 
     members: int
     recorded: int
     instances: int
+    watched: bool = False
+    watches_lost: int = 0
     stages: list[Stage] = field(default_factory=list)
     rest: RestCost | None = None
     not_run: list[str] = field(default_factory=list)
     ended_by: str = ""
 
     @property
-    def size(self) -> tuple[int, int, int]:
-        """What tells this play from others: its recorded members, live ones and instances."""
-        return self.recorded, self.members, self.instances
+    def size(self) -> tuple[bool, int, int, int]:
+        """What tells this play from others."""
+        return self.watched, self.recorded, self.members, self.instances
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/benchmarks/capacity/hollow_watches.py
@@ -0,0 +1,90 @@
+"""Watches of the store that nobody acts on: the load that recorded members' watches put on it.
+
+    python -m benchmarks.capacity.hollow_watches STORE_PORT COUNT
+
+Each is opened as an agent opens its own, and what comes is read and dropped. Any command (`hollow_commands`)
+is answered with how many watches stand, how many were lost, and the bytes read.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from base64 import b64encode
+
+import h11
+
+from benchmarks.capacity.hollow_commands import answer, take_commands
+from benchmarks.capacity.hollow_config import GROUP
+from pulleyroute.fleet.records import Keys
+from pulleyroute.net.buffers import BufferPool
+from pulleyroute.net.http import Broken, Crowded, Late, connect
+from pulleyroute.net.loop import READABLE, Coroutine, Loop, Wait
+from pulleyroute.net.process import on_error
+
+CONNECT_TIME = 10_000_000  # us
+SPACING = 1_000  # us between two watches that are opened
+
+
+class Watches:
+    """Owns the connections and their counts."""
+
+    def __init__(self, loop: Loop, port: int, count: int) -> None:
+        self._loop, self._pool, self._address = loop, BufferPool(), ("127.0.0.1", port)
+        self.standing = self.lost = self.received = 0
+        loop.spawn(self._open(count), "open")
+
+    def _open(self, count: int) -> Coroutine[None]:
+        for _ in range(count):
+            self._loop.spawn(self._watch(), "watch")
+            yield Wait(until=self._loop.now() + SPACING)
+
+    def _watch(self) -> Coroutine[None]:
+        try:
+            stream = yield from connect(
+                self._loop, self._pool, self._address, self._loop.now() + CONNECT_TIME
+            )
+        except (Broken, Crowded, Late):
+            self.lost += 1
+            return
+        self.standing += 1
+        try:
+            body = _request()
+            head = h11.Request(
+                method=b"POST",
+                target=b"/v3/watch",
+                headers=[(b"Host", b"store"), (b"Content-Length", b"%d" % len(body))],
+            )
+            yield from stream.send(stream.frame(head, body), None)
+            while (count := stream.skip()) != 0:
+                self.received += count or 0
+                if count is None:
+                    yield Wait(stream.fileno(), READABLE)
+        except Broken:
+            pass
+        self.standing -= 1
+        self.lost += 1
+        stream.close()
+
+
+def _request() -> bytes:
+    keys = Keys(GROUP)
+    start, end = b64encode(keys.prefix).decode(), b64encode(keys.end).decode()
+    return json.dumps({"create_request": {"key": start, "range_end": end}}).encode()
+
+
+def main() -> None:
+    """Hold the watches until the standard input ends."""
+    loop = Loop(on_error)
+    watches = Watches(loop, int(sys.argv[1]), int(sys.argv[2]))
+
+    def report(_: object) -> dict[str, int]:
+        return {"standing": watches.standing, "lost": watches.lost, "received": watches.received}
+
+    loop.spawn(take_commands(loop, report), "commands")
+    answer(report(None))
+    loop.run()
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/capacity/test_hollow.py
+++ b/tests/capacity/test_hollow.py
@@ -53,9 +53,10 @@
 
 
 def test_a_member_of_a_recorded_fleet_knows_all_of_it_and_each_change_of_a_zone():
-    played = play(Size(members=2, recorded=20, instances=4), PATIENT)
+    played = play(Size(members=2, recorded=20, instances=4, watched=True), PATIENT)
     assert played.ended_by == "" and played.not_run == []
     assert [each.least_serving for each in played.stages] == [22, 22, 11, 22]
+    assert played.watches_lost == 0
     assert played.rest is not None and played.rest.range_bytes > 22 * 300
 
 
