Capacity: series and fits of measured costs, slopes of the list and the decisions

benchmarks/capacity/series.py is the common form (points by size, JSON); fit.py lays a line of least squared relative residuals and checks it: the smaller half of the sizes predicts the larger. Plain least squares were ruled out: over two powers of ten the largest size alone would decide.

--- /dev/null
+++ b/benchmarks/capacity/decisions.py
@@ -0,0 +1,97 @@
+"""The decisions by the length of the list: memory, a list and a change taken, a turn of the tick, a pick.
+
+A pick is one job from its arrival to its end: the draw, the attempt's start, its end. It is measured for a
+class that any kind of instance runs, and for one of a single kind, which looks through the whole list.
+"""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable
+from dataclasses import replace
+
+from benchmarks.capacity import sample
+from benchmarks.capacity.cost import microseconds, traced
+from benchmarks.capacity.slope import Cost, Slope
+from pulleyroute import interface as api
+from pulleyroute.rules import TICK, Dispatcher
+
+START = 1_000_000_000  # us
+
+
+def _settings() -> api.Settings:
+    """The second class is for one kind of instance alone."""
+    settings = sample.settings()
+    any_kind, one_kind = settings.classes
+    return replace(settings, classes=[any_kind, replace(one_kind, kind=0)])
+
+
+def _dispatcher(listed: list[api.Entry]) -> Dispatcher:
+    rules = Dispatcher(_settings(), 1, START)
+    rules.handle(START, api.WorkerList(1, api.ListKind.FULL, listed))
+    return rules
+
+
+def _changing(rules: Dispatcher, entry: api.Entry) -> Callable[[], None]:
+    states = [api.WorkerState.DRAINING, api.WorkerState.READY]
+
+    def change() -> None:
+        states.reverse()
+        changed = api.WorkerList(2, api.ListKind.DELTA, [replace(entry, state=states[0])])
+        rules.handle(rules.now + 1, changed)
+
+    return change
+
+
+def _picking(rules: Dispatcher, job_class: int) -> Callable[[], None]:
+    numbers = itertools.count(job_class * 1_000_000_000)
+
+    def pick() -> None:
+        number = next(numbers)
+        now = rules.now + 7_576  # 132 a second
+        todo = rules.handle(now, api.JobArrived(number, job_class, 5_000_000))
+        push = next(action for action in todo if isinstance(action, api.Push))
+        rules.handle(now + 10, api.AttemptStarted(number, 0, push.worker))
+        report = api.LoadReport(free_slots=3.0, in_hand=1.0, queued=0.0)
+        rules.handle(now + 20, api.AttemptEnded(number, 0, push.worker, api.Outcome.OK, True, 20, report))
+
+    return pick
+
+
+def measure(size: int) -> dict[str, float]:
+    """The costs at a list of so many instances."""
+    listed = sample.entries(size)
+    return {**_times(listed), "memory": traced(lambda: _dispatcher(listed))[0]}
+
+
+def _times(listed: list[api.Entry]) -> dict[str, float]:
+    rules = _dispatcher(listed)
+    whole = api.WorkerList(2, api.ListKind.FULL, listed)
+    taken = microseconds(lambda: rules.handle(rules.now + 1, whole))
+    change = microseconds(_changing(rules, listed[0]))
+    tick = microseconds(lambda: rules.handle(rules.now + rules.tick, api.TimerFired(TICK)))
+    pick, pick_kind = (microseconds(_picking(rules, each)) for each in (0, 1))
+    return {
+        "whole": taken,
+        "change": change,
+        "tick": tick,
+        "pick": pick,
+        "pick_kind": pick_kind,
+    }
+
+
+SLOPE = Slope(
+    "decisions",
+    "list entries",
+    (100, 300, 1_000, 3_000, 10_000, 30_000, 100_000),
+    (100, 300, 1_000, 3_000, 10_000),
+    {
+        "memory": Cost("Decisions: memory held for the list", "bytes", 32e6),
+        "whole": Cost("Decisions: a whole list taken", "us"),
+        "change": Cost("Decisions: one change taken", "us"),
+        "tick": Cost("Decisions: one turn of the tick", "us"),
+        "pick": Cost("Decisions: one job, any kind of instance", "us"),
+        "pick_kind": Cost("Decisions: one job, one kind of instance", "us"),
+    },
+    measure,
+)
--- /dev/null
+++ b/benchmarks/capacity/fit.py
@@ -0,0 +1,107 @@
+"""Lines through measured series, and how far they can be trusted.
+
+A cost is modelled as `base + slope * size`. Points weigh by the inverse of their value, since the spread of
+a cost grows with it: the residuals are relative ones. Beside the line stands the exponent of a power law,
+which says whether the cost is proportional to the size at all, and the error of a prediction of the larger
+half of the sizes from the smaller half, the only check there is of an extrapolation.
+"""
+
+from __future__ import annotations
+
+import statistics
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+import numpy as np
+
+from benchmarks.capacity.series import Point, Series
+
+LEAST_SIZES = 3  # for a line with a residual
+
+
+class FitError(ValueError):
+    """There are too few sizes, or values that no line can be laid through; the text says which."""
+
+
+@dataclass(slots=True, frozen=True)
+class Line:
+    """`base + slope * size`. `residual`: the root mean square of (measured - line) / measured."""
+
+    base: float
+    slope: float
+    residual: float
+
+    def at(self, size: float) -> float:
+        """The cost at a size."""
+        return self.base + self.slope * size
+
+
+@dataclass(slots=True, frozen=True)
+class Fit:
+    """What a series says.
+
+    `exponent`: of `value ~ size ** exponent`, by least squares of the logarithms; `spread`: the largest
+    (most - least) / median of the repetitions at one size; `prediction_error`: the largest |predicted -
+    median| / median over the larger half of the sizes, by a line through the smaller half; None below five
+    sizes.
+    """
+
+    line: Line
+    exponent: float
+    spread: float
+    prediction_error: float | None
+
+
+def fit(series: Series) -> Fit:
+    """The fit of a series; raises FitError."""
+    return Fit(
+        line(series.points),
+        exponent(series.points),
+        _spread(series),
+        _prediction_error(series),
+    )
+
+
+def line(points: Iterable[Point]) -> Line:
+    """The line of least squared relative residuals; raises FitError."""
+    sizes, values = _arrays(points)
+    slope, base = np.polyfit(sizes, values, 1, w=1 / values)
+    relative = (values - (base + slope * sizes)) / values
+    return Line(float(base), float(slope), float(np.sqrt(np.mean(relative**2))))
+
+
+def exponent(points: Iterable[Point]) -> float:
+    """The power of the size that the cost grows by; raises FitError."""
+    sizes, values = _arrays(points)
+    return float(np.polyfit(np.log(sizes), np.log(values), 1)[0])
+
+
+def _arrays(points: Iterable[Point]) -> tuple[np.ndarray, np.ndarray]:
+    pairs = [(point.size, point.value) for point in points]
+    if len({size for size, _ in pairs}) < LEAST_SIZES:
+        raise FitError(f"fewer than {LEAST_SIZES} sizes")
+    if any(size <= 0 or value <= 0 for size, value in pairs):
+        raise FitError("a size or a value is not above 0")
+    sizes, values = zip(*pairs, strict=True)
+    return np.array(sizes, float), np.array(values, float)
+
+
+def _medians(series: Series) -> dict[int, float]:
+    return {size: statistics.median(series.values(size)) for size in series.sizes}
+
+
+def _spread(series: Series) -> float:
+    def of(values: list[float]) -> float:
+        return (max(values) - min(values)) / statistics.median(values)
+
+    return max(of(series.values(size)) for size in series.sizes)
+
+
+def _prediction_error(series: Series) -> float | None:
+    half = (len(series.sizes) + 1) // 2
+    small, large = series.sizes[:half], series.sizes[half:]
+    if len(small) < LEAST_SIZES:
+        return None
+    predicted: Callable[[float], float] = line(point for point in series.points if point.size in small).at
+    medians = _medians(series)
+    return max(abs(predicted(size) - medians[size]) / medians[size] for size in large)
--- /dev/null
+++ b/benchmarks/capacity/listing.py
@@ -0,0 +1,72 @@
+"""The discovery client by the length of its list: memory, a list and a change taken, bytes on the wire.
+
+Words are given to the client as its watch gives them, past the reader of lines: that one refuses a word of
+over 1 MiB (`LINE_LIMIT`), which is what a whole list of some 6,000 instances takes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from benchmarks.capacity import sample
+from benchmarks.capacity.cost import microseconds, traced
+from benchmarks.capacity.slope import Cost, Slope
+from pulleyroute.net.buffers import BufferPool
+from pulleyroute.net.discovery import DiscoveryClient
+from pulleyroute.net.loop import Loop
+
+
+def _client(loop: Loop, text: bytes) -> DiscoveryClient:
+    client = DiscoveryClient(loop, BufferPool(), ("127.0.0.1", 9), sample.settings(), sample.EPOCH)
+    client._word(text)
+    return client
+
+
+def _changing(client: DiscoveryClient) -> Callable[[], None]:
+    """One instance leaves and comes back, again and again."""
+    texts = [sample.word(2, [sample.member(0, phase)]) for phase in ("leaving", "active")]
+
+    def change() -> None:
+        texts.reverse()
+        client._word(texts[0])
+
+    return change
+
+
+def _times(client: DiscoveryClient, text: bytes) -> dict[str, float]:
+    return {
+        "whole": microseconds(lambda: client._word(text)),
+        "change": microseconds(_changing(client)),
+    }
+
+
+def measure(size: int) -> dict[str, float]:
+    """The costs at a list of so many instances."""
+    loop = Loop(lambda name, exc: None)
+    text = sample.whole(size)
+    times = _times(_client(loop, text), text)
+    held, most = traced(lambda: _client(loop, text))
+    return {
+        **times,
+        "memory": held,
+        "peak": most,
+        "whole_bytes": float(len(text)),
+        "change_bytes": float(len(sample.word(2, [sample.member(0)]))),
+    }
+
+
+SLOPE = Slope(
+    "list",
+    "list entries",
+    (100, 300, 1_000, 3_000, 10_000, 30_000, 100_000),
+    (100, 300, 1_000, 3_000, 10_000),
+    {
+        "memory": Cost("Discovery client: memory held for the list", "bytes", 32e6),
+        "peak": Cost("Discovery client: most memory while a whole list is taken", "bytes", 32e6),
+        "whole": Cost("Discovery client: a whole list taken", "us"),
+        "change": Cost("Discovery client: one change taken", "us"),
+        "whole_bytes": Cost("A whole list on the wire", "bytes", 1048576),
+        "change_bytes": Cost("One change on the wire", "bytes"),
+    },
+    measure,
+)
--- /dev/null
+++ b/benchmarks/capacity/slope.py
@@ -0,0 +1,105 @@
+"""What a slope is, and its points: each repetition runs in a fresh process, one at a time."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from benchmarks.capacity.series import Point, Series
+
+ROOT = Path(__file__).parent.parent.parent
+POINT_TIME = 170  # seconds that one process may take
+REPEATS, QUICK_REPEATS = 3, 1
+
+Measured = Mapping[str, float]
+
+
+class SlopeError(Exception):
+    """A point could not be measured; the text is one plain line."""
+
+
+@dataclass(slots=True, frozen=True)
+class Cost:
+    """One of the costs that a slope measures. `limit`: the bound it is held to, in `unit`."""
+
+    title: str
+    unit: str
+    limit: float | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Slope:
+    """`measure` returns the value of each cost at a size, and is called once in a process."""
+
+    name: str
+    size_unit: str
+    sizes: tuple[int, ...]
+    quick_sizes: tuple[int, ...]
+    costs: Mapping[str, Cost]
+    measure: Callable[[int], Measured]
+    note: str = ""
+
+
+@dataclass(slots=True)
+class Run:
+    """How slopes are run. `sizes`: in place of a slope's own; `tell` hears each point once it is there."""
+
+    quick: bool = False
+    sizes: tuple[int, ...] = ()
+    repeats: int = 0
+    tell: Callable[[str], None] = field(default=lambda line: None)
+
+    def series(self, slope: Slope) -> list[Series]:
+        """Measure a slope; raises SlopeError."""
+        sizes = self.sizes or (slope.quick_sizes if self.quick else slope.sizes)
+        repeats = self.repeats or (QUICK_REPEATS if self.quick else REPEATS)
+        points: dict[str, list[Point]] = {name: [] for name in slope.costs}
+        for _ in range(repeats):
+            for size in sizes:
+                measured = fresh(slope.name, size)
+                for name, value in measured.items():
+                    points[name].append(Point(size, value))
+                self.tell(f"{slope.name} {size}: " + ", ".join(f"{k} {v:.4g}" for k, v in measured.items()))
+        return [
+            Series(
+                f"{slope.name}.{name}",
+                cost.title,
+                cost.unit,
+                slope.size_unit,
+                f"python -m benchmarks.capacity {slope.name}",
+                tuple(points[name]),
+                cost.limit,
+                machine(),
+                slope.note,
+            )
+            for name, cost in slope.costs.items()
+        ]
+
+
+def fresh(name: str, size: int) -> dict[str, float]:
+    """One point of a slope in a process of its own; raises SlopeError."""
+    command = [sys.executable, "-m", "benchmarks.capacity.point", name, str(size)]
+    try:
+        done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=POINT_TIME)
+    except subprocess.TimeoutExpired:
+        raise SlopeError(f"{name} at {size}: no result within {POINT_TIME} s") from None
+    if done.returncode != 0:
+        last = done.stderr.strip().splitlines()[-1:] or ["no message"]
+        raise SlopeError(f"{name} at {size}: {last[0]}")
+    values: dict[str, float] = json.loads(done.stdout)
+    return values
+
+
+def machine() -> str:
+    """What a series was measured on, in a few words without names."""
+    lines = Path("/proc/cpuinfo").read_text().splitlines()
+    model = next(
+        (line.split(":", 1)[1].strip() for line in lines if line.startswith("model name")), "unknown"
+    )
+    python = sys.version.split()[0]
+    return f"{os.cpu_count()} cores, {model}, Python {python}; machine shared"
--- /dev/null
+++ b/tests/capacity/test_fit.py
@@ -0,0 +1,45 @@
+"""Fits of series whose answer is known."""
+
+import pytest
+
+from benchmarks.capacity.fit import FitError, fit
+from benchmarks.capacity.series import Point, Series
+
+SIZES = (10, 30, 100, 300, 1000)
+
+
+def series(cost, sizes=SIZES) -> Series:
+    points = tuple(Point(size, value) for size in sizes for value in cost(size))
+    return Series("a.b", "A", "us", "entries", "python -m a", points)
+
+
+def test_a_straight_line_is_found_exactly_and_predicts_itself() -> None:
+    found = fit(series(lambda size: [7.0 + 0.5 * size] * 2))
+    assert found.line.base == pytest.approx(7.0)
+    assert found.line.slope == pytest.approx(0.5)
+    assert found.line.residual == pytest.approx(0.0, abs=1e-9)
+    assert found.line.at(2000) == pytest.approx(1007.0)
+    assert found.spread == 0.0
+    assert found.prediction_error == pytest.approx(0.0, abs=1e-9)
+
+
+def test_residual_and_spread_are_relative() -> None:
+    found = fit(series(lambda size: [0.9 * size, 1.1 * size]))
+    assert found.line.residual == pytest.approx(0.1, abs=0.005)
+    assert found.spread == pytest.approx(0.2)
+
+
+def test_a_square_is_told_from_a_line() -> None:
+    found = fit(series(lambda size: [0.01 * size**2]))
+    assert found.exponent == pytest.approx(2.0)
+    assert found.prediction_error is not None and found.prediction_error > 0.5
+
+
+def test_too_few_sizes_predict_nothing() -> None:
+    assert fit(series(lambda size: [size], sizes=(1, 10, 100))).prediction_error is None
+
+
+@pytest.mark.parametrize("sizes, cost", [((1, 2), 1.0), ((1, 2, 3), 0.0), ((0, 1, 2), 1.0)])
+def test_what_no_line_fits_is_refused(sizes: tuple[int, ...], cost: float) -> None:
+    with pytest.raises(FitError):
+        fit(series(lambda size: [cost], sizes))
