Hollow fleet: plays as series for the fits and charts

Ruled out: a file of series beside the plays: one file holds both, so that a series can't be of other runs than the plays it names. Plays of other lists and those with bare watches stay out of the series.

--- a/benchmarks/capacity/hollow.py
+++ b/benchmarks/capacity/hollow.py
@@ -13,7 +13,6 @@
 from __future__ import annotations
 
 import argparse
-import os
 import resource
 import sys
 from collections.abc import Callable, Sequence
@@ -26,10 +25,11 @@
 from benchmarks.capacity.hollow_play import QUICK, Times, play
 from benchmarks.capacity.hollow_process import NoAnswer
 from benchmarks.capacity.hollow_results import Comparison, Play, Results, read_results, write_results
+from benchmarks.capacity.hollow_series import INSTANCES, series
+from benchmarks.capacity.slope import machine
 
 MEMBERS, RECORDED = [10, 30, 100], [1000, 5700]
 QUICK_MEMBERS, QUICK_RECORDED = [10], [300]
-INSTANCES = 90
 MOST_MEMBERS, MOST_RECORDED, MOST_INSTANCES = 5700, 20_000, 100_000
 COMPARED, MOST_COMPARED = 5, 50  # real dispatchers, beside as many hollow ones
 DESCRIPTORS_A_MEMBER = 3  # two watches and a call
@@ -109,7 +109,7 @@
     logger.remove()
     times = QUICK if made.quick else Times()
     results = read_results(made.out) if made.out is not None else Results()
-    results.cores = os.cpu_count() or 0
+    results.machine = machine()
     print(line(COLUMNS))
     print(line(["---"] * len(COLUMNS)))
     for size in sizes(made):
@@ -130,6 +130,7 @@
 
 
 def _keep(results: Results, out: Path | None) -> None:
+    results.series = series(results.plays, results.machine)
     if out is not None:
         write_results(results, out)
 
--- a/benchmarks/capacity/hollow_results.py
+++ b/benchmarks/capacity/hollow_results.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from benchmarks.capacity.hollow_traffic import Count
+from benchmarks.capacity.series import Series
 
 
 @dataclass(slots=True, frozen=True)
@@ -148,9 +149,10 @@
 
 @dataclass(slots=True)
 class Results:
-    """What the file holds: one play a size, the latest, and the latest comparison."""
+    """What the file holds: one play a size, the latest, the latest comparison, and the plays' series."""
 
-    cores: int = 0
+    machine: str = ""
+    series: list[Series] = field(default_factory=list)
     plays: list[Play] = field(default_factory=list)
     comparison: Comparison | None = None
 
--- a/tests/capacity/test_hollow.py
+++ b/tests/capacity/test_hollow.py
@@ -16,6 +16,8 @@
     read_results,
     write_results,
 )
+from benchmarks.capacity.hollow_series import INSTANCES, series
+from benchmarks.capacity.series import Point, read
 
 PATIENT = Times(patience=60.0, settle=0.0, window=1.0)
 STAGES = ["start", "rest", "zone lost", "zone back"]
@@ -105,7 +107,7 @@
 
 def test_results_hold_the_latest_play_of_each_size(tmp_path):
     path = tmp_path / "hollow.json"
-    results = Results(4)
+    results = Results("a machine")
     for ended in ("first", "second"):
         results.add(Play(10, 0, 90, ended_by=ended))
         results.add(Play(9, 991, 90))
@@ -117,6 +119,16 @@
     ]
 
 
+def test_a_play_makes_series_that_the_fits_read(five, tmp_path):
+    five.instances = INSTANCES
+    found = {each.name: each for each in series([five, Play(9, 991, INSTANCES, watched=True)], "a machine")}
+    assert found["hollow.range_bytes"].points == (Point(5, float(five.rest.range_bytes)),)
+    assert found["hollow.zone_back_known"].sizes == [5]
+    path = tmp_path / "hollow.json"
+    write_results(Results(series=list(found.values())), path)
+    assert read(path) == list(found.values())
+
+
 def test_members_are_divided_among_processes_without_rest():
     numbers, last = range(20), {8, 17}
     assert set(select(numbers, 9, "last")) == last
