--- a/tests/capacity/test_hollow.py
+++ b/tests/capacity/test_hollow.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from benchmarks.capacity import hollow
+from benchmarks.capacity import hollow, hollow_compare
 from benchmarks.capacity.hollow_fleet import Size
 from benchmarks.capacity.hollow_member import select
 from benchmarks.capacity.hollow_play import Times, play
@@ -62,6 +62,18 @@
     assert played.rest is not None and played.rest.range_bytes > 22 * 300
 
 
+def test_real_dispatchers_are_counted_beside_hollow_members(monkeypatch):
+    monkeypatch.setattr(hollow_compare, "SETTLE", 0.0)
+    made = hollow_compare.compare(hollow=2, real=1, window=2.0)
+    assert (made.hollow, made.real) == (2, 1)
+    for each in (made.cpu, made.calls, made.store_bytes, made.discovery_bytes):
+        assert len(each.hollow) == len(each.real) == hollow_compare.WINDOWS
+    # Of each member over the three windows: its lease is extended, and discovery's watch says something.
+    for each in (made.cpu, made.calls, made.store_bytes, made.discovery_bytes):
+        assert sum(each.hollow) > 0 and sum(each.real) > 0
+    assert made.real_memory > 0
+
+
 def test_a_play_that_does_not_come_to_its_end_says_where_and_what_was_not_run():
     played = play(Size(members=2, recorded=0, instances=4), Times(patience=0.0))
     assert played.ended_by.startswith("start: not within 0 s; of 2: ")
