Hollow fleet: errors by stage, the machine's load, and bytes of a zone as they are

Need: a stage showed the errors of all stages before it; a play on a busy machine could not be told from one on a quiet one; bytes of a lost zone "beyond rest" came out below 0, since a change puts off the readings of the whole that rest was counted with.

Ruled out: taking the readings out by their size: which of them fall into a stage differs from run to run. The bytes are those of the stage now, with rest's own, and say so.

--- a/benchmarks/capacity/hollow_play.py
+++ b/benchmarks/capacity/hollow_play.py
@@ -5,6 +5,7 @@
 import os
 import tempfile
 import time
+from collections import Counter
 from dataclasses import dataclass, replace
 from pathlib import Path
 
@@ -54,6 +55,7 @@
     calls: int
     store: Count
     discovery: Count
+    errors: Counter[str]
 
 
 class _Player:
@@ -163,7 +165,7 @@
     def _mark(self) -> _Mark:
         reports = self._reports()
         calls, store, discovery = self._exchanged(reports)
-        return _Mark(now(), self._fleet.usages(), calls, store, discovery)
+        return _Mark(now(), self._fleet.usages(), calls, store, discovery, _errors(reports))
 
     def _exchanged(self, reports: list[Report]) -> tuple[int, Count, Count]:
         fleet = self._fleet
@@ -179,10 +181,6 @@
         ended = now()
         reports = self._reports()
         calls, store, discovery = self._exchanged(reports)
-        errors: dict[str, int] = {}
-        for report in reports:
-            for text, count in report.errors.items():
-                errors[text] = errors.get(text, 0) + count
         stage = Stage(
             name=name,
             complete=complete,
@@ -198,19 +196,22 @@
             most_serving=max(report.most_serving for report in reports),
             without_record=sum(report.without_record for report in reports),
             longest_turn=max(report.longest_turn for report in reports) / 1e6,
-            errors=errors,
+            errors=dict(_errors(reports) - mark.errors),
         )
-        rest = self._play.rest
-        if rest is not None:
-            at_rest = members * stage.seconds
-            stage.above_rest_calls = stage.calls - rest.calls * at_rest
-            stage.above_rest_bytes = stage.store.sent + stage.store.received - rest.store_bytes * at_rest
         self._play.stages.append(stage)
         if not complete:
             raise Broken(_missing(stage, self._times.patience))
         return stage
 
 
+def _errors(reports: list[Report]) -> Counter[str]:
+    """How often members logged each error so far."""
+    found: Counter[str] = Counter()
+    for report in reports:
+        found.update(report.errors)
+    return found
+
+
 def _before(mark: _Mark, name: str) -> float:
     used = mark.usages.get(name)
     return used.cpu if used is not None else 0.0
@@ -247,6 +248,7 @@
                 result.watches_lost = int(fleet.watches.ask({})["lost"])
         except (Broken, NoAnswer, OSError) as exc:
             result.ended_by = str(exc)
+    result.load = os.getloadavg()[0]
     done = {stage.name for stage in result.stages}
     result.not_run = [name for name in WAITED if name not in done and not (size.zones < 2 and "zone" in name)]
     return result
--- a/benchmarks/capacity/hollow_results.py
+++ b/benchmarks/capacity/hollow_results.py
@@ -31,8 +31,7 @@
     `most_serving`: how many serving members a live member knew of at the end. `without_record`: live
     members that did not find their own record then. `longest_turn`: the longest time, in seconds, for which
     a process of members did not come to look at them; where it is large, times are those of the machine,
-    not of the fleet. `above_rest_calls`, `above_rest_bytes`: of the store's, what was more than the same
-    members exchange at rest in the same time.
+    not of the fleet. `errors`: the log's warnings and errors during the stage, by text.
     """
 
     name: str
@@ -50,8 +49,6 @@
     without_record: int
     longest_turn: float
     errors: dict[str, int]
-    above_rest_calls: float = 0.0
-    above_rest_bytes: float = 0.0
 
 
 @dataclass(slots=True)
@@ -80,6 +77,7 @@
     """One play: its size, its stages as far as they went, and why it went no further.
 
     `watched`: recorded members had watches at the store, of which `watches_lost` ended during the play.
+    `load`: the load average of a minute at its end, of all programs on the machine; 0 where it was not noted.
     """
 
     members: int
@@ -87,6 +85,7 @@
     instances: int
     watched: bool = False
     watches_lost: int = 0
+    load: float = 0.0
     stages: list[Stage] = field(default_factory=list)
     rest: RestCost | None = None
     not_run: list[str] = field(default_factory=list)
--- a/benchmarks/capacity/hollow_series.py
+++ b/benchmarks/capacity/hollow_series.py
@@ -43,11 +43,12 @@
     )
 
 
-def _rest(read: Callable[[RestCost], float], alive: bool = False) -> Callable[[Play], float | None]:
-    """From the cost at rest; `alive`: of fleets alone whose members all live."""
+def _rest(read: Callable[[RestCost], float], alive: bool | None = None) -> Callable[[Play], float | None]:
+    """From the cost at rest; `alive`: only where all members live (True), or only where some do (False)."""
 
     def value(play: Play) -> float | None:
-        return None if play.rest is None or (alive and play.recorded) else read(play.rest)
+        wanted = alive is None or alive == (play.recorded == 0)
+        return read(play.rest) if play.rest is not None and wanted else None
 
     return value
 
@@ -62,7 +63,12 @@
     return value
 
 
-RECORDED = "beyond 100 members nine live and the others are records in the store"
+def _store_bytes(stage: Stage) -> float:
+    return (stage.store.sent + stage.store.received) / stage.members
+
+
+REST_INCLUDED = "what the members exchange at rest in that time is a part of it"
+RECORDED = "beyond 200 members nine live and the others are records in the store"
 ALIVE = "all members live, on shared cores"
 COSTS = (
     _Cost("calls", "Calls of a member to the store at rest", "calls/s", _rest(lambda rest: rest.calls)),
@@ -86,9 +92,9 @@
         "memory",
         "Memory of a member beyond its process's",
         "bytes",
-        _rest(lambda rest: rest.member_memory),
+        _rest(lambda rest: rest.member_memory, alive=False),
         MEMORY_LIMIT,
-        RECORDED,
+        "nine members live, the others are records in the store",
     ),
     _Cost(
         "range_bytes",
@@ -116,15 +122,19 @@
     ),
     _Cost(
         "zone_lost_bytes",
-        "A zone lost: bytes from the store to a member, beyond rest",
+        "A zone lost: bytes between the store and a member until all know",
         "bytes",
-        _stage("zone lost", lambda stage: stage.above_rest_bytes / stage.members),
+        _stage("zone lost", _store_bytes),
+        None,
+        REST_INCLUDED,
     ),
     _Cost(
         "zone_back_bytes",
-        "A zone back: bytes between the store and a member, beyond rest",
+        "A zone back: bytes between the store and a member until all know",
         "bytes",
-        _stage("zone back", lambda stage: stage.above_rest_bytes / stage.members),
+        _stage("zone back", _store_bytes),
+        None,
+        REST_INCLUDED,
     ),
     _Cost(
         "zone_lost_known",
