--- a/benchmarks/capacity/hollow.py
+++ b/benchmarks/capacity/hollow.py
@@ -7,7 +7,8 @@
 `--members` plays fleets whose members all live. `--recorded` plays fleets of which nine members live, one
 in each zone, and the others are records in the store: it shows what a member costs in a fleet of that size,
 and what the store answers it, without the load of the others; with `--watched` the store bears their watches
-too. Prints a table, and writes all that was measured as JSON to `--out`.
+too, and with `--live 1` the one that lives has its core to itself, but no zone is lost. Prints a table, and
+writes all that was measured as JSON to `--out`.
 """
 
 from __future__ import annotations
@@ -63,6 +64,9 @@
     parser.add_argument("--recorded", type=whole(ZONES + 1, MOST_RECORDED), nargs="*", metavar="N")
     parser.add_argument("--instances", type=whole(1, MOST_INSTANCES), default=INSTANCES, metavar="N")
     parser.add_argument("--compare", type=whole(1, MOST_COMPARED), metavar="N", help="real dispatchers")
+    parser.add_argument(
+        "--live", type=whole(1, ZONES), default=ZONES, metavar="N", help="members of --recorded that live"
+    )
     parser.add_argument("--watched", action="store_true", help="the store holds recorded members' watches")
     parser.add_argument("--quick", action="store_true", help="small sizes and short windows")
     parser.add_argument("--out", type=Path, metavar="FILE", help="JSON; plays of other sizes in it stay")
@@ -99,7 +103,9 @@
 def sizes(made: argparse.Namespace) -> list[Size]:
     """What is to be played."""
     lives = [Size(members, 0, made.instances) for members in made.members or []]
-    records = [Size(ZONES, fleet - ZONES, made.instances, made.watched) for fleet in made.recorded or []]
+    records = [
+        Size(made.live, fleet - made.live, made.instances, made.watched) for fleet in made.recorded or []
+    ]
     return lives + records
 
 
--- a/benchmarks/capacity/hollow_results.py
+++ b/benchmarks/capacity/hollow_results.py
@@ -91,6 +91,11 @@
     not_run: list[str] = field(default_factory=list)
     ended_by: str = ""
 
+    @property
+    def fleet(self) -> int:
+        """Members that the store tells of."""
+        return self.members + self.recorded
+
     @property
     def size(self) -> tuple[bool, int, int, int]:
         """What tells this play from others."""
--- a/benchmarks/capacity/hollow_series.py
+++ b/benchmarks/capacity/hollow_series.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from benchmarks.capacity.hollow_fleet import ZONES
 from benchmarks.capacity.hollow_results import Play, RestCost, Stage
 from benchmarks.capacity.series import Point, Series
 
@@ -28,16 +29,21 @@
 
 
 def series(plays: Iterable[Play], machine: str) -> list[Series]:
-    """All costs that at least one play says; plays of other lists and of bare watches are left out."""
-    kept = [play for play in plays if play.instances == INSTANCES and not play.watched]
+    """All costs that at least one play says.
+
+    Plays of other lists, of bare watches and of fleets with fewer live members than zones are left out.
+    """
+    kept = [
+        play
+        for play in plays
+        if play.instances == INSTANCES and not play.watched and play.members >= min(ZONES, play.fleet)
+    ]
     made = [_series(cost, kept, machine) for cost in COSTS]
     return [each for each in made if each.points]
 
 
 def _series(cost: _Cost, plays: list[Play], machine: str) -> Series:
-    points = tuple(
-        Point(play.members + play.recorded, value) for play in plays if (value := cost.read(play)) is not None
-    )
+    points = tuple(Point(play.fleet, value) for play in plays if (value := cost.read(play)) is not None)
     return Series(
         f"hollow.{cost.name}", cost.title, cost.unit, MEMBERS, COMMAND, points, cost.limit, machine, cost.note
     )
--- a/tests/capacity/test_hollow.py
+++ b/tests/capacity/test_hollow.py
@@ -87,6 +87,7 @@
         (["--members", "many"], "expected a whole number from 1 to 5700, found 'many'"),
         (["--members", "1e3"], "expected a whole number from 1 to 5700, found '1e3'"),
         (["--recorded", "9"], "expected a whole number from 10 to 20000, found '9'"),
+        (["--live", "10"], "expected a whole number from 1 to 9, found '10'"),
         (["--instances", "-1"], "expected a whole number from 1 to 100000, found '-1'"),
         (["--compare", "51"], "expected a whole number from 1 to 50, found '51'"),
         (["--out", "/nowhere/at/all.json"], "there is no directory /nowhere/at"),
