--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -12,7 +12,7 @@
 
 QUICK_FOLDER = Path("build/capacity")  # quick runs leave the page's figures as they are
 LARGEST = 2_000_000  # of a size asked for
-ALL, REPORTS = "all", ("fits", "charts", "target")
+ALL, REPORTS = "all", ("fits", "charts", "target", "subsets")
 
 
 def _size(text: str) -> int:
@@ -33,7 +33,7 @@
     parser.add_argument(
         "name",
         choices=[ALL, *MODULES, *REPORTS],
-        help="a slope; all of them with their reports; or one report: fits, charts, target",
+        help="a slope; all of them with their reports; or one report: fits, charts, target, subsets",
     )
     parser.add_argument("--quick", action="store_true", help=f"small sizes once, into {QUICK_FOLDER}")
     parser.add_argument("--out", type=Path, help="the folder of the JSON files, tables and charts")
@@ -49,15 +49,17 @@
         write(folder / f"{name}.json", found)
 
 
-def _report(name: str, folder: Path) -> None:
-    from benchmarks.capacity import charts, tables, target
+def _report(name: str, folder: Path, quick: bool) -> None:
+    from benchmarks.capacity import charts, subsets, tables, target
 
     if name == "fits":
         tables.fits(folder)
     elif name == "charts":
-        charts.draw(folder)
-    else:
+        charts.draw(folder, quick)
+    elif name == "target":
         target.report(folder)
+    else:
+        subsets.report(folder, subsets.QUICK_SEEDS if quick else subsets.SEEDS)
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -74,7 +76,7 @@
                 _measure(name, run, folder)
         for name in REPORTS if asked.name == ALL else [asked.name]:
             if name in REPORTS:
-                _report(name, folder)
+                _report(name, folder, asked.quick)
     except (SlopeError, SeriesError, OSError) as exc:
         print(f"capacity: {exc}", file=sys.stderr)
         return 1
--- a/benchmarks/capacity/charts.py
+++ b/benchmarks/capacity/charts.py
@@ -23,10 +23,13 @@
 TARGETS = {"list entries": 1_700_000, "members": 5_700}
 
 
-def draw(folder: Path) -> None:
-    """One chart a series that has a fit."""
+def draw(folder: Path, quick: bool = False) -> None:
+    """One chart a series that has a fit and more than one value; `quick`: of those that have a limit."""
     with mpl.rc_context(STYLE):
         for series in all_series(folder):
+            values = {point.value for point in series.points}
+            if len(values) == 1 or (quick and series.limit is None):
+                continue
             try:
                 found = fit(series)
             except FitError:
--- a/benchmarks/capacity/request.py
+++ b/benchmarks/capacity/request.py
@@ -54,7 +54,7 @@
 
 
 @contextmanager
-def _program(folder: Path, listen: str, discovery: Discovery) -> Iterator[int]:
+def program(folder: Path, listen: str, discovery: Discovery) -> Iterator[int]:
     """The dispatcher, ready; its process id."""
     path = folder / "config.json"
     path.write_text(json.dumps(_config(listen, discovery)))
@@ -106,7 +106,7 @@
     listen, discovery = f"127.0.0.1:{free_port()}", Discovery()
     with tempfile.TemporaryDirectory() as folder, stand_in("box", listen, SLOTS) as address:
         discovery.put("box", address)
-        with _program(Path(folder), listen, discovery) as pid:
+        with program(Path(folder), listen, discovery) as pid:
             return asyncio.run(_load(listen, size, pid))
 
 
--- a/benchmarks/capacity/slopes.py
+++ b/benchmarks/capacity/slopes.py
@@ -16,6 +16,7 @@
     "probes": "probes",
     "reload": "reloading",
     "request": "request",
+    "listed": "listed",
 }
 
 
--- /dev/null
+++ b/benchmarks/capacity/subsets.py
@@ -0,0 +1,115 @@
+"""The table of subsets: a zone's ring in several states, beside subsets drawn at random."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+
+from benchmarks.capacity.ring import Ring, drawn, kept, load, uneven
+from benchmarks.capacity.scale import RACKS, REPLICAS, SUBSET, ZONE_DESTINATIONS, ZONE_DISPATCHERS
+
+TABLE = "subsets.md"
+LEAST = 5
+SEEDS, QUICK_SEEDS = 200, 10
+SIGMA = 0.5  # of the dispatchers' rates: one in twenty takes more than twice the median
+RING = Ring(ZONE_DISPATCHERS, REPLICAS, LEAST)
+PART = ZONE_DESTINATIONS / ZONE_DISPATCHERS  # destinations
+
+COLUMNS = (
+    "state",
+    "dispatchers a destination",
+    "largest subset",
+    "subsets changed of those there",
+    "fullest over mean",
+)
+
+State = Callable[[Random], set[int]]
+
+
+@dataclass(slots=True, frozen=True)
+class Row:
+    """Over all seeds of a state: the least and most dispatchers of a destination, the largest subset in
+    destinations, the most subsets that changed though their dispatcher stayed, and the fullest destination's
+    load over the mean."""
+
+    state: str
+    least: int
+    most: int
+    largest: float
+    changed: int
+    fullest: float
+
+
+def _without(count: int) -> State:
+    """So many positions that nobody holds, at random."""
+    return lambda random: set(range(ZONE_DISPATCHERS)) - set(random.sample(range(ZONE_DISPATCHERS), count))
+
+
+def _rack(random: Random) -> set[int]:
+    """A rack lost: neighbours on the ring lie in different racks."""
+    lost = random.randrange(RACKS)
+    return {position for position in range(ZONE_DISPATCHERS) if position % RACKS != lost}
+
+
+def _rack_and_some(random: Random) -> set[int]:
+    return _rack(random) & _without(ZONE_DISPATCHERS // 100)(random)
+
+
+STATES: dict[str, State] = {
+    "all there": _without(0),
+    "one out": _without(1),
+    "one in a hundred out": _without(ZONE_DISPATCHERS // 100),
+    "a rack lost": _rack,
+    "a rack lost, and one in a hundred out": _rack_and_some,
+    "a third out": _without(ZONE_DISPATCHERS // 3),
+}
+
+
+def row(name: str, seeds: int) -> Row:
+    """A state of the ring over so many seeds."""
+    whole = kept(RING.keepers(set(range(ZONE_DISPATCHERS))))
+    counts: list[int] = []
+    largest = changed = 0
+    fullest = 0.0
+    for seed in range(seeds):
+        present = STATES[name](Random(seed))
+        keepers = RING.keepers(present)
+        parts = kept(keepers)
+        counts += [len(positions) for positions in keepers]
+        largest = max(largest, *(len(each) for each in parts.values()))
+        changed = max(changed, sum(1 for position in present if parts[position] != whole[position]))
+        shares = load(keepers, uneven(present, seed, SIGMA))
+        fullest = max(fullest, max(shares) / (sum(shares) / len(shares)))
+    return Row(name, min(counts), max(counts), largest * PART, changed, fullest)
+
+
+def report(folder: Path, seeds: int = SEEDS) -> None:
+    """Write and print the table."""
+    random_counts = drawn(ZONE_DESTINATIONS, ZONE_DISPATCHERS, SUBSET, 1)
+    few, none = int((random_counts < LEAST).sum()), int((random_counts == 0).sum())
+    lines = [
+        "# Subsets of a zone",
+        "",
+        f"Made by `python -m benchmarks.capacity subsets`: {ZONE_DISPATCHERS} positions, {REPLICAS} a part,",
+        f"{LEAST} at least; {seeds} seeds a state; rates of dispatchers log-normal with a sigma of {SIGMA}.",
+        "",
+        "| " + " | ".join(COLUMNS) + " |",
+        "|" + " --- |" * len(COLUMNS),
+        *(_line(row(name, seeds)) for name in STATES),
+        "",
+        f"Drawn at random, {SUBSET:,} destinations each: {random_counts.min()} to {random_counts.max()}",
+        f"dispatchers a destination; {none:,} of {ZONE_DESTINATIONS:,} have none, {few:,} under {LEAST}.",
+        "",
+    ]
+    print("\n".join(lines))
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / TABLE).write_text("\n".join(lines))
+
+
+def _line(found: Row) -> str:
+    return (
+        f"| {found.state} | {found.least} to {found.most} | {found.largest:,.0f} | {found.changed} | "
+        f"{found.fullest:.2f} |"
+    )
