--- a/benchmarks/capacity/hollow_member.py
+++ b/benchmarks/capacity/hollow_member.py
@@ -27,7 +27,7 @@
 from pulleyroute.config import Config
 from pulleyroute.fleet.agent import Agent
 from pulleyroute.interface import ListKind, WorkerList
-from pulleyroute.net.duty import Phase
+from pulleyroute.net.lifecycle import Phase
 from pulleyroute.net.loop import Coroutine, Loop, Wait
 from pulleyroute.net.process import on_error
 from pulleyroute.service.assembly import Service
--- a/benchmarks/capacity/listing.py
+++ b/benchmarks/capacity/listing.py
@@ -1,7 +1,7 @@
 """The discovery client by the length of its list: memory, a list and a change taken, bytes on the wire.
 
 Words are given to the client as its watch gives them, past the reader of lines: that one refuses a word of
-over 1 MiB (`LINE_LIMIT`), which is what a whole list of some 6,000 instances takes.
+over 4 MiB (`LINE_LIMIT`), which is what a whole list of some 26,000 instances takes.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 
 def _client(loop: Loop, text: bytes) -> DiscoveryClient:
     client = DiscoveryClient(loop, BufferPool(), ("127.0.0.1", 9), sample.settings(), sample.EPOCH)
-    client._word(text)
+    client._read_line(text)
     return client
 
 
@@ -28,14 +28,14 @@
 
     def change() -> None:
         texts.reverse()
-        client._word(texts[0])
+        client._read_line(texts[0])
 
     return change
 
 
 def _times(client: DiscoveryClient, text: bytes) -> dict[str, float]:
     return {
-        "whole": microseconds(lambda: client._word(text)),
+        "whole": microseconds(lambda: client._read_line(text)),
         "change": microseconds(_changing(client)),
     }
 
--- a/benchmarks/capacity/probes.py
+++ b/benchmarks/capacity/probes.py
@@ -48,7 +48,7 @@
         pool = BufferPool()
         discovery = DiscoveryClient(self._loop, pool, ("127.0.0.1", 9), settings, sample.EPOCH)
         member = {**sample.member(0), "host_port": address}
-        discovery._word(sample.word(1, [member], complete=True))
+        discovery._read_line(sample.word(1, [member], complete=True))
         self._name = str(member["id"]).encode()
         self._instances = Instances(self._loop, pool, discovery, settings, 100)
         self._instances.probed = self._heard
--- a/benchmarks/capacity/reloading.py
+++ b/benchmarks/capacity/reloading.py
@@ -39,9 +39,9 @@
     path.write_text(json.dumps(_object(classes, known)))
     os.environ["PROXY_CONFIG"] = str(path)
     parts: Parts = build(load_config(os.environ), Loop(lambda name, exc: None))
-    before = parts.figures.conf_loaded
+    before = parts.metrics.conf_loaded
     spent = microseconds(lambda: reload(parts))
-    if parts.figures.conf_invalid or parts.figures.conf_loaded == before:
+    if parts.metrics.conf_invalid or parts.metrics.conf_loaded == before:
         raise ValueError("the configuration was not taken")
     return spent
 
--- a/benchmarks/capacity/target.py
+++ b/benchmarks/capacity/target.py
@@ -40,7 +40,7 @@
     Row,
     Slopes,
 )
-from pulleyroute.net.discovery import LINE_LIMIT
+from pulleyroute.net.json_lines import LINE_LIMIT
 
 TABLE = "target.md"
 
@@ -190,7 +190,8 @@
     return [
         f"Changes of the list: {CHANGES:.0f} a second, with {DOWN:,.0f} down for {MEAN_DOWN:.0f} s each.",
         f"A subset: {SUBSET:,} destinations, {REPLICAS} dispatchers a destination.",
-        f"A whole list over 1 MiB is refused (`LINE_LIMIT`): {LINE_LIMIT / entry:,.0f} entries.",
+        f"A whole list over {LINE_LIMIT // 1048576} MiB is refused (`LINE_LIMIT`): "
+        f"{LINE_LIMIT / entry:,.0f} entries.",
         f"A group over 4 MiB is refused (`store.LARGEST`): {4 * 1048576 / member:,.0f} members.",
         f"Comparisons of a permit: {slopes.at('members.permit_compares', DISPATCHERS):,.0f}; "
         "etcd allows 128 operations.",
