Say in net/host.py what happens without each guard, in place of "Guards against"

Need: a comment that names a consequence tells a reader what to test before a line is taken out.

Only comments and docstrings change: the syntax trees without docstrings are equal.

--- a/pulleyroute/net/host.py
+++ b/pulleyroute/net/host.py
@@ -21,8 +21,9 @@
 from pulleyroute.net.requests import Answer, Back, Call, Ending, Job, Reply, Request, State
 from pulleyroute.rules import PROVEN_NOT_RUN, Dispatcher
 
-# Answers leave this long before the client gives up. Guards the one answer in time; much more would leave a
-# client time to come again for nothing.
+# Answers leave this long before the client gives up: later, one would find nobody there
+# (test_a_time_out_leaves_the_client_no_time_to_come_again); much earlier, the client would come again for
+# nothing.
 MARGIN = 25_000
 MARGIN_SHARE = 8  # and never earlier than this part of its time
 # Of a keyed class's window, for a repeat's way to its instance: the slack that the protocol gives each limit.
@@ -123,8 +124,8 @@
         try:
             actions = self._dispatcher.handle(self._now, event)
         except Exception:
-            # Guards against a fault passing unnoticed, and against losing what was decided before it: the
-            # module has already counted those actions as carried out.
+            # Without this a fault would end what posted the event, and what the module decided before it, and
+            # counts as carried out, would be lost.
             self.faults += 1
             logger.bind(event="decisions.failed").exception(
                 "the decision module failed on {}", type(event).__name__
@@ -159,8 +160,9 @@
     def submit(self, request: Request, reply: Reply) -> Job:
         """Take a request; `reply` is called exactly once, unless `abandon` comes first."""
         self._count += 1
-        # Guards everybody else: the module takes the longest time seen for what a class's first tries come
-        # with, so one request that claims to wait for days would make all others look late.
+        # The module takes the longest time seen for what a class's first tries come with: without the bound
+        # one request that claims to wait for days would make all others look late
+        # (test_a_client_that_claims_to_wait_for_days_does_not_make_all_others_late).
         cls = self._settings.classes[request.job_class]
         remaining = min(request.remaining, cls.give_up)
         left = remaining - min(MARGIN, remaining // MARGIN_SHARE)
@@ -304,7 +306,8 @@
     def begin(self, attempt: Attempt) -> bool:
         """The answer begins to flow from this attempt; False if it may not, since another one is bound.
 
-        Guards the one answer: from here on the request goes out no more (gRFC A6, "committed").
+        From here on the request goes out no more (gRFC A6, "committed"): another attempt's answer would
+        follow the beginning of this one.
         """
         job = self._by_txn.get(attempt.txn)
         if job is None or job.answered or attempt.over or job.bound not in (None, attempt):
@@ -318,7 +321,7 @@
 
     def _conclude(self, job: Job) -> None:
         job.answered = True
-        job.request.body = b""  # guards the memory: its attempts may outlive it for long
+        job.request.body = b""  # its attempts may outlive it for long, and would keep the body
         self.open -= 1
         if job.guard is not None:
             job.guard.cancel()
@@ -359,7 +362,7 @@
                 del self._by_txn[job.request.txn]
 
     def _overdue(self, job: Job) -> None:
-        # Guards the one final answer against a module that stays silent: it leaves in time all the same.
+        # Without this a request on which the module stays silent would never be answered.
         job.guard = None
         if job.answered:
             return
@@ -377,7 +380,8 @@
         if job is None or job.answered:
             return
         if self._harmful(job):
-            # Guards against the promise that a repeat is harmless where something may have run.
+            # A refusal promises that a repeat is harmless: without this, what may have run would run again
+            # (test_a_refusal_of_what_may_have_run_becomes_a_failure).
             logger.bind(event="request.not_refused", request=job.request.txn).error(
                 "request {} may have run and is not refused", job.request.txn
             )
@@ -411,13 +415,14 @@
         job.attempts.append(attempt)
         if (
             job.answered
-            # Guards against a resend of what is bound, or of a request whose beginning is gone (gRFC A6).
+            # Without the next two, what is bound would go out again, and a request whose beginning is gone
+            # would go out without it (gRFC A6).
             or job.bound is not None
             or (job.committed and attempt.index > 0)
             or attempt.timeout_at <= self._now
             or attempt.index >= job.most
-            # Guards against two attempts of a request at one instance: calls name no attempt, so a late
-            # word on the earlier one would be taken for the later one's.
+            # Calls name no attempt: with two of a request at one instance, a late call on the earlier one
+            # would be taken for the later one's.
             or not all(_silent(e) for e in earlier)
         ):
             self.settle(attempt, Outcome.MOOT, None)
@@ -475,7 +480,8 @@
         if job is None or attempt.over or attempt.stopping:
             return False
         if not job.answered and job.request.gone is not None and job.request.gone():
-            # Guards against work for nobody: the client's end may stand unread behind other bytes.
+            # Without this an instance would work for nobody: the client's end may stand unread behind other
+            # bytes (test_what_has_not_begun_when_its_client_goes_does_not_begin).
             self.abandon(job)
         if job.answered or not self._allowed(job, attempt):
             self.settle(attempt, Outcome.MOOT, None)
@@ -487,16 +493,17 @@
         if now >= attempt.timeout_at or not discovery.freshness.usable:
             return False
         if not discovery.active(instance) or discovery.incarnation(instance) != attempt.incarnation:
-            # Guards the drain rule, and an instance that has started anew: it is cold now, and what the
-            # decisions counted for it was another's.
+            # Otherwise an instance that leaves would get work, and one that has started anew, and is cold,
+            # what was meant for the process before it
+            # (test_rare_moments.py, test_an_instance_that_starts_anew_while_a_connection_comes_up_...).
             return False
         others = [e for e in job.attempts if e is not attempt and e.outcome not in PROVEN_NOT_RUN]
         if not self._settings.second_copies and any(not e.over for e in others):
             return False
         if not others or job.cls.effect is Effect.SAFE:
             return True
-        # Guards what must not run twice; and what carries a key, whose repeat has to come to the instances
-        # before they forget the first.
+        # Otherwise what must not run twice would, and a keyed repeat would come after the instances have
+        # forgotten the first (test_a_keyed_repeat_comes_to_its_instance_within_the_window_or_does_not_begin).
         return (
             job.cls.effect is Effect.KEYED
             and now + ON_THE_WAY < min(e.sent for e in others) + job.cls.repeat_window
@@ -560,7 +567,8 @@
     def _reject(self, attempt: Attempt) -> None:
         """An instance can't use the request, so none can: answer, send it nowhere else and blame nobody.
 
-        Guards the instances against bad clients: an error makes a sound one a tenth as likely for seconds.
+        Told as an error it would make a sound instance a tenth as likely for seconds, on the word of a client
+        (test_a_request_that_an_instance_cannot_use_goes_nowhere_else_and_blames_no_instance).
         """
         job = self._by_txn.get(attempt.txn)
         if attempt.over or job is None:
@@ -583,8 +591,9 @@
             if self._settings.second_copies or job.answered:
                 self._stop(attempt, Outcome.CANCELLED)
                 return
-            # Guards against two copies at once, where none are allowed: the next attempt's push may
-            # overtake this one's DELETE, which may have a connection to wait for.
+            # Told at once, the next attempt's push might overtake this one's DELETE, which may have a
+            # connection to wait for: two copies where none are allowed (test_rare_moments.py,
+            # test_where_no_second_copy_is_allowed_a_job_waits_...).
             attempt.stopping = True
             self._instances.give_up(attempt, lambda: self._stopped(attempt, Outcome.CANCELLED))
 
@@ -606,8 +615,8 @@
         if job is None:
             return
         for attempt in job.attempts:
-            # Guards against calls that repeat or come late: an ended attempt stays ended, and none is
-            # spoken of before its last byte was written.
+            # Otherwise a call that repeats or comes late would end an attempt again, or one whose last byte
+            # was not written yet.
             if attempt.instance == call.instance and attempt.written and not attempt.over:
                 break
         else:
