--- a/tests/fleet/test_sizes.py
+++ b/tests/fleet/test_sizes.py
@@ -12,7 +12,7 @@
 from pulleyroute.fleet.store import LARGEST, Item, Lost, put, unchanged
 from pulleyroute.lab.fleet.rig import Rig
 from pulleyroute.lab.fleet.schedule import Schedule, Shape
-from pulleyroute.net.duty import Phase
+from pulleyroute.net.lifecycle import Phase
 from pulleyroute.net.loop import Loop
 from tests.fleet.test_agent import Fleet, states
 from tests.fleet.test_store import Play
