--- a/pulleyroute/net/lifecycle.py
+++ b/pulleyroute/net/lifecycle.py
@@ -1,6 +1,7 @@
 """What the process is doing for its clients: the one state machine of service. No I/O, no clock of its own.
 
-    STARTING ──serve──▶ SERVING ──standby──▶ STANDBY ──active──▶ SERVING
+    STARTING ──serve──▶ SERVING
+    STARTING, SERVING ──standby──▶ STANDBY ──active──▶ the phase before (SERVING, if serve came meanwhile)
     SERVING, STANDBY ──hand──▶ HANDED ──resume──▶ the phase before
     any ──end──▶ ENDING (final)
 
--- a/tests/fleet/test_agent.py
+++ b/tests/fleet/test_agent.py
@@ -98,14 +98,6 @@
         self.server = Server(self.loop, port, self.log)
 
 
-@pytest.fixture
-def fleet(tmp_path):
-    made = Fleet(tmp_path)
-    yield made
-    made.server.close()
-    assert not made.loop.errors
-
-
 def together(fleet, *names):
     for name in names:
         fleet.join(name)
--- a/tests/fleet/test_release.py
+++ b/tests/fleet/test_release.py
@@ -13,7 +13,7 @@
 from pulleyroute.fleet.release import Move, Plan, Seen, State, begin, step
 from pulleyroute.fleet.release import Refused as NotSo
 from pulleyroute.net.lifecycle import Phase
-from tests.fleet.test_agent import Fleet, together
+from tests.fleet.test_agent import together
 
 SECOND = 1_000_000
 PLAN = Plan(
@@ -230,14 +230,6 @@
         return {row["version"] for row in self.fleet.rows().values()}
 
 
-@pytest.fixture
-def fleet(tmp_path):
-    made = Fleet(tmp_path)
-    yield made
-    made.server.close()
-    assert not made.loop.errors
-
-
 def test_a_release_reaches_everybody_one_at_a_time(fleet):
     together(fleet, *"abcd")
     platform = Platform(fleet)
--- a/tests/fleet/test_sizes.py
+++ b/tests/fleet/test_sizes.py
@@ -14,7 +14,7 @@
 from pulleyroute.lab.fleet.schedule import Schedule, Shape
 from pulleyroute.net.lifecycle import Phase
 from pulleyroute.net.loop import Loop
-from tests.fleet.test_agent import Fleet, states
+from tests.fleet.test_agent import states
 from tests.fleet.test_store import Play
 from tests.net.scene import SECOND
 
@@ -30,14 +30,6 @@
     played.close()
 
 
-@pytest.fixture
-def fleet(tmp_path):
-    made = Fleet(tmp_path)
-    yield made
-    made.server.close()
-    assert not made.loop.errors
-
-
 @pytest.fixture
 def usual_limit():
     """The limit of descriptors that a process commonly starts with."""
