--- /dev/null
+++ b/benchmarks/capacity/__main__.py
@@ -0,0 +1,85 @@
+"""Measures what each part costs by size, and works out the target: `python -m benchmarks.capacity --help`."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from pathlib import Path
+
+from benchmarks.capacity.series import FOLDER, SeriesError, write
+from benchmarks.capacity.slope import Run, SlopeError
+from benchmarks.capacity.slopes import MODULES, slope
+
+QUICK_FOLDER = Path("build/capacity")  # quick runs leave the page's figures as they are
+LARGEST = 2_000_000  # of a size asked for
+ALL, REPORTS = "all", ("fits", "charts", "target")
+
+
+def _size(text: str) -> int:
+    try:
+        size = int(text)
+    except ValueError:
+        raise argparse.ArgumentTypeError(f"{text!r} is not a whole number") from None
+    if not 1 <= size <= LARGEST:
+        raise argparse.ArgumentTypeError(f"{size} is not between 1 and {LARGEST}")
+    return size
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="python -m benchmarks.capacity",
+        description="Measure slopes into JSON, or make tables and charts from what is there.",
+    )
+    parser.add_argument(
+        "name",
+        choices=[ALL, *MODULES, *REPORTS],
+        help="a slope; all of them with their reports; or one report: fits, charts, target",
+    )
+    parser.add_argument("--quick", action="store_true", help=f"small sizes once, into {QUICK_FOLDER}")
+    parser.add_argument("--out", type=Path, help="the folder of the JSON files, tables and charts")
+    parser.add_argument(
+        "--size", type=_size, action="append", help="measure this size instead, and only print it"
+    )
+    return parser
+
+
+def _measure(name: str, run: Run, folder: Path) -> None:
+    found = run.series(slope(name))
+    if not run.sizes:
+        write(folder / f"{name}.json", found)
+
+
+def _report(name: str, folder: Path) -> None:
+    from benchmarks.capacity import charts, tables, target
+
+    if name == "fits":
+        tables.fits(folder)
+    elif name == "charts":
+        charts.draw(folder)
+    else:
+        target.report(folder)
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Exit status: 0, 1 where a point or a report failed, 2 for arguments that can't be used."""
+    parser = _parser()
+    asked = parser.parse_args(arguments)
+    if asked.size and asked.name not in MODULES:
+        parser.error("--size goes with one slope")
+    folder = asked.out or (QUICK_FOLDER if asked.quick else FOLDER)
+    run = Run(asked.quick, tuple(asked.size or ()), 0, lambda line: print(line, flush=True))
+    try:
+        for name in MODULES if asked.name == ALL else [asked.name]:
+            if name in MODULES:
+                _measure(name, run, folder)
+        for name in REPORTS if asked.name == ALL else [asked.name]:
+            if name in REPORTS:
+                _report(name, folder)
+    except (SlopeError, SeriesError, OSError) as exc:
+        print(f"capacity: {exc}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/capacity/charts.py
@@ -0,0 +1,70 @@
+"""Charts of size against cost with the fit and the limit, as SVG, from the JSON files of a folder."""
+
+from __future__ import annotations
+
+import statistics
+from pathlib import Path
+from typing import Any
+
+import matplotlib as mpl
+
+mpl.use("svg")
+
+from matplotlib import pyplot as plt
+from matplotlib.axes import Axes
+
+from benchmarks.capacity.fit import Fit, FitError, fit
+from benchmarks.capacity.series import Series
+from benchmarks.capacity.tables import all_series
+
+# The same bytes for the same figures, so that a chart changes in a commit only where a figure does.
+STYLE: dict[Any, Any] = {"svg.hashsalt": "capacity", "svg.fonttype": "none", "font.size": 9}
+# Sizes at the target that a line is drawn to; see `target.py`.
+TARGETS = {"list entries": 1_700_000, "members": 5_700}
+
+
+def draw(folder: Path) -> None:
+    """One chart a series that has a fit."""
+    with mpl.rc_context(STYLE):
+        for series in all_series(folder):
+            try:
+                found = fit(series)
+            except FitError:
+                continue
+            path = folder / f"{series.name}.svg"
+            _chart(series, found, path)
+            print(path)
+
+
+def _chart(series: Series, found: Fit, path: Path) -> None:
+    figure, axes = plt.subplots(figsize=(6.0, 4.0), layout="constrained")
+    _points(axes, series)
+    _line(axes, series, found)
+    if series.limit is not None:
+        axes.axhline(series.limit, color="tab:red", label=f"limit: {series.limit:,.0f} {series.unit}")
+    axes.set(xscale="log", yscale="log", xlabel=series.size_unit, ylabel=series.unit, title=series.title)
+    axes.grid(which="major", alpha=0.3)
+    axes.legend(fontsize=8)
+    figure.savefig(path, metadata={"Date": None})
+    plt.close(figure)
+
+
+def _points(axes: Axes, series: Series) -> None:
+    sizes = [point.size for point in series.points]
+    axes.plot(sizes, [point.value for point in series.points], "o", markersize=4, label="measured")
+
+
+def _line(axes: Axes, series: Series, found: Fit) -> None:
+    last = max(TARGETS.get(series.size_unit, 0), series.sizes[-1])
+    ratio = (last / series.sizes[0]) ** (1 / 60)
+    sizes = [series.sizes[0] * ratio**step for step in range(61)]
+    label = f"{found.line.base:.3g} + {found.line.slope:.3g} x size"
+    axes.plot(sizes, [max(found.line.at(size), _least(series)) for size in sizes], "-", label=label)
+    if last > series.sizes[-1]:
+        label = f"target: {last:,}, {last / series.sizes[-1]:.0f} times the largest measured"
+        axes.axvline(last, color="tab:gray", linestyle=":", label=label)
+
+
+def _least(series: Series) -> float:
+    """Guards the logarithmic axis against a line whose base is below 0."""
+    return statistics.median(series.values(series.sizes[0])) / 10
--- a/benchmarks/capacity/decisions.py
+++ b/benchmarks/capacity/decisions.py
@@ -94,4 +94,5 @@
         "pick_kind": Cost("Decisions: one job, one kind of instance", "us"),
     },
     measure,
+    2_000_000,
 )
--- a/benchmarks/capacity/listing.py
+++ b/benchmarks/capacity/listing.py
@@ -69,4 +69,5 @@
         "change_bytes": Cost("One change on the wire", "bytes"),
     },
     measure,
+    2_000_000,
 )
--- /dev/null
+++ b/benchmarks/capacity/members.py
@@ -0,0 +1,106 @@
+"""The fleet agent's decisions by the number of members: memory, records read, a step, a permit, a release.
+
+All of it is pure code of `pulleyroute.fleet`: what an agent goes through when it hears of one change. A
+permit's size is of the transaction as it leaves: one comparison for each member that serves.
+"""
+
+from __future__ import annotations
+
+import json
+from dataclasses import replace
+
+from benchmarks.capacity.cost import microseconds, traced
+from benchmarks.capacity.slope import Cost, Slope
+from pulleyroute.fleet import drains, records, release
+from pulleyroute.fleet.drains import Act, Bounds, Part
+from pulleyroute.fleet.records import Keys, Known
+from pulleyroute.fleet.store import Item, unchanged
+
+ZONES = 9
+BOUNDS = Bounds(fleet=Part(share=0.1), zone=Part(share=0.5), least_serving=1)
+ETCD_OPERATIONS = 128  # of a transaction, unless its operator allows more
+KEYS = Keys("fleet")
+
+
+def member_name(number: int) -> str:
+    """As long as names of machines are."""
+    return f"dispatcher-{number:05d}"
+
+
+def member_records(number: int) -> list[tuple[bytes, bytes]]:
+    """The seat and the word of one member, as keys and values."""
+    name, mark = member_name(number), f"{number:016x}-1"
+    zone, region = f"zone-{number % ZONES}", f"region-{number % 3}"
+    seat = records.encode(mark=mark, incarnation=1, token=f"{number:016x}", zone=zone, region=region)
+    word = records.encode(mark=mark, incarnation=1, phase="serving", version="1.2.3")
+    return [(KEYS.of("seat", name), seat), (KEYS.of("word", name), word)]
+
+
+def _mirror(size: int) -> dict[bytes, Item]:
+    wish = records.encode(mark="w", incarnation=1, do="restart", version="1.2.4", by="operator", why="update")
+    pairs = [pair for number in range(size) for pair in member_records(number)]
+    pairs.append((KEYS.of("wish", member_name(0)), wish))
+    pairs.append((KEYS.roll, records.encode(mark="r")))
+    return {key: Item(key, value, 5, 5, 0) for key, value in pairs}
+
+
+def _known(mirror: dict[bytes, Item]) -> Known:
+    return records.known(KEYS, ((item.key, item.value) for item in mirror.values()))
+
+
+def _step(known: Known) -> drains.Step:
+    return drains.step(member_name(0), f"{0:016x}", 1, "serving", False, known, BOUNDS)
+
+
+def _permit(mirror: dict[bytes, Item], known: Known) -> list[object]:
+    """The comparisons of a permit's transaction."""
+    counted = [mirror[KEYS.of("word", name)] for name in drains.counted(known)]
+    first = [KEYS.of("permit", member_name(0)), KEYS.of("seat", member_name(0)), KEYS.roll]
+    own = [mirror.get(key, Item(key)) for key in (*first, KEYS.of("wish", member_name(0)))]
+    return [unchanged(item) for item in (*own, *counted)]
+
+
+def measure(size: int) -> dict[str, float]:
+    """The costs in a fleet of so many members."""
+    mirror = _mirror(size)
+    known = _known(mirror)
+    if _step(known).act is not Act.ASK:
+        raise ValueError("the sample's member does not ask for its permit")
+    compares = _permit(mirror, known)
+    plan = release.Plan("r", "1.2.4", (Part(share=0.01), Part(share=0.1)))
+    begun = release.begin(plan, replace(known, wishes={}))
+
+    def held() -> tuple[dict[bytes, Item], Known]:
+        fresh = _mirror(size)
+        return fresh, _known(fresh)
+
+    return {
+        "known": microseconds(lambda: _known(mirror)),
+        "step": microseconds(lambda: _step(known)),
+        "permit": microseconds(lambda: _permit(mirror, known)),
+        "permit_compares": float(len(compares)),
+        "permit_bytes": float(len(json.dumps({"compare": compares}))),
+        "release_bytes": float(len(records.encode(**records.written(begun)))),
+        "memory": traced(held)[0],
+    }
+
+
+SLOPE = Slope(
+    "members",
+    "members",
+    (10, 30, 100, 300, 1_000),
+    (10, 30, 100, 300, 1_000),
+    {
+        "known": Cost("Fleet agent: records read after one change", "us"),
+        "step": Cost("Fleet agent: one step with a wish", "us"),
+        "permit": Cost("Fleet agent: a permit's transaction made", "us"),
+        "permit_compares": Cost(
+            "Fleet agent: comparisons of a permit's transaction", "operations", ETCD_OPERATIONS
+        ),
+        "permit_bytes": Cost("Fleet agent: comparisons of a permit on the wire", "bytes"),
+        "release_bytes": Cost("Fleet agent: the record of a release", "bytes"),
+        "memory": Cost("Fleet agent: memory held for the records", "bytes", 32e6),
+    },
+    measure,
+    10_000,
+)
--- /dev/null
+++ b/benchmarks/capacity/probes.py
@@ -0,0 +1,107 @@
+"""Probes over loopback: what each costs the one that asks, over connections that are kept.
+
+The size is the number of probes. The instance asked is the job box's stand-in, in a process of its own; the
+one that asks is `Instances` with its real connections, one probe after another.
+"""
+
+from __future__ import annotations
+
+import json
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from benchmarks.capacity import sample
+from benchmarks.capacity.slope import Cost, Slope
+from pulleyroute.interface import LoadReport, Outcome
+from pulleyroute.net.buffers import BufferPool
+from pulleyroute.net.discovery import DiscoveryClient
+from pulleyroute.net.instance import Instances
+from pulleyroute.net.loop import Loop
+
+CALLBACK = "127.0.0.1:9"  # nobody sends jobs, and so nobody is called back
+
+
+@contextmanager
+def stand_in(name: str, callback: str, slots: int = 4) -> Iterator[str]:
+    """A job box's stand-in as a process; its address."""
+    command = [sys.executable, "-m", "pulleyroute.cli", "emulate", "runner", name, "--callback", callback]
+    process = subprocess.Popen([*command, "--slots", str(slots)], stdout=subprocess.PIPE, text=True)
+    try:
+        assert process.stdout is not None
+        host, port = json.loads(process.stdout.readline())[0]
+        yield f"{host}:{port}"
+    finally:
+        process.kill()
+        process.wait()
+
+
+class _Asking:
+    """Asks one instance again and again."""
+
+    def __init__(self, address: str, times: int) -> None:
+        settings = sample.settings()
+        self._loop, self._left = Loop(self._failed), times
+        pool = BufferPool()
+        discovery = DiscoveryClient(self._loop, pool, ("127.0.0.1", 9), settings, sample.EPOCH)
+        member = {**sample.member(0), "host_port": address}
+        discovery._word(sample.word(1, [member], complete=True))
+        self._name = str(member["id"]).encode()
+        self._instances = Instances(self._loop, pool, discovery, settings, 100)
+        self._instances.probed = self._heard
+        self.wrong: list[str] = []
+
+    def _failed(self, name: str, exc: Exception) -> None:
+        self.wrong.append(f"{name}: {exc!r}")
+        self._loop.stop()
+
+    def _heard(self, instance: bytes, outcome: Outcome, took: int, report: LoadReport | None) -> None:
+        if outcome is not Outcome.OK or report is None:
+            self.wrong.append(f"a probe ended as {outcome.name}")
+        self._left -= 1
+        if self._left == 0 or self.wrong:
+            self._loop.stop()
+            return
+        self._instances.probe(instance)
+
+    def run(self) -> float:
+        """Processor time in microseconds."""
+        began = time.process_time()
+        self._instances.probe(self._name)
+        self._loop.run()
+        return (time.process_time() - began) * 1e6
+
+
+def _bytes(address: str) -> int:
+    """Of one probe and its answer, as they are on the wire; the heads of `Instances` and of the stand-in."""
+    host, port = address.rsplit(":", 1)
+    asked = f"GET /-/load HTTP/1.1\r\nHost: {address}\r\n\r\n".encode()
+    with socket.create_connection((host, int(port)), 5) as connection:
+        connection.sendall(asked)
+        return len(asked) + len(connection.recv(65_536))
+
+
+def measure(size: int) -> dict[str, float]:
+    """The processor time of so many probes."""
+    with stand_in("box", CALLBACK) as address:
+        asking = _Asking(address, size)
+        spent, one = asking.run(), _bytes(address)
+    if asking.wrong:
+        raise ValueError(asking.wrong[0])
+    return {"ask": spent, "bytes": float(one)}
+
+
+SLOPE = Slope(
+    "probes",
+    "probes",
+    (30, 100, 300, 1_000, 3_000, 10_000),
+    (30, 100, 300, 1_000, 3_000),
+    {
+        "ask": Cost("Probes: asked over kept connections", "us"),
+        "bytes": Cost("Probes: one and its answer on the wire", "bytes"),
+    },
+    measure,
+)
--- /dev/null
+++ b/benchmarks/capacity/reloading.py
@@ -0,0 +1,73 @@
+"""SIGHUP by the length of the configuration: the file read and checked, and its settings put in force.
+
+The size is the number of classes. `known` is the same for a file that carries so many instances of the list:
+it is read with the file each time.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from benchmarks.capacity import sample
+from benchmarks.capacity.cost import microseconds
+from benchmarks.capacity.slope import Cost, Slope
+from pulleyroute.__main__ import Parts, build, reload
+from pulleyroute.lab.demo import free_port
+from pulleyroute.net.config import load_config
+from pulleyroute.net.loop import Loop
+
+
+def _object(classes: int, known: int) -> dict[str, Any]:
+    members = [sample.member(number) for number in range(known)]
+    return {
+        "name": "n0",
+        "listen": f"127.0.0.1:{free_port()}",
+        "discovery": "127.0.0.1:9",
+        "seed": "1",
+        "limits": {"cores": 1.0, "memory_mb": 256, "sockets": 256},
+        "known": {"revision": 1, "complete": True, "members": members},
+        "settings": sample.settings_object(classes),
+    }
+
+
+def _cost(path: Path, classes: int, known: int) -> float:
+    """Processor time of one reload, in microseconds."""
+    path.write_text(json.dumps(_object(classes, known)))
+    os.environ["PROXY_CONFIG"] = str(path)
+    parts: Parts = build(load_config(os.environ), Loop(lambda name, exc: None))
+    before = parts.figures.conf_loaded
+    spent = microseconds(lambda: reload(parts))
+    if parts.figures.conf_invalid or parts.figures.conf_loaded == before:
+        raise ValueError("the configuration was not taken")
+    return spent
+
+
+def measure(size: int) -> dict[str, float]:
+    """The costs of a reload with so many classes, and with so many known instances."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "config.json"
+        bytes_of = len(json.dumps(_object(size, 0)))
+        return {
+            "classes": _cost(path, size, 0),
+            "known": _cost(path, 2, size),
+            "bytes": float(bytes_of),
+        }
+
+
+SLOPE = Slope(
+    "reload",
+    "classes, or known instances",
+    (10, 30, 100, 300, 1_000, 3_000),
+    (10, 30, 100, 300, 1_000),
+    {
+        "classes": Cost("SIGHUP: a configuration with so many classes", "us"),
+        "known": Cost("SIGHUP: a configuration with so many known instances", "us"),
+        "bytes": Cost("A configuration with so many classes", "bytes"),
+    },
+    measure,
+    100_000,
+)
--- /dev/null
+++ b/benchmarks/capacity/request.py
@@ -0,0 +1,124 @@
+"""The data path: processor time of the real program by the rate of requests, over loopback.
+
+The platform's dispatcher (`python -m pulleyroute`), the stand-in of a job box and the clients are processes
+of their own. Requests come at an even rate on kept connections, each is sent to a box, which takes it (202)
+and calls back on a connection of its own; probes and the watch run as in service. The size is the rate, the
+value the dispatcher's processor time in microseconds a second: the line's slope is the cost of one request,
+its base what the dispatcher costs without any.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import http.client
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+from benchmarks.capacity import sample
+from benchmarks.capacity.cost import processor_time, resident
+from benchmarks.capacity.probes import stand_in
+from benchmarks.capacity.slope import ROOT, Cost, Slope
+from pulleyroute.emulator import Discovery
+from pulleyroute.lab.arrivals import Mix, Piece, Shape
+from pulleyroute.lab.demo import free_port
+from pulleyroute.lab.load import SERVED, Jobs, open_loop
+
+SECONDS = 5.0  # that a rate is kept up
+WARM_UP = 100  # requests before, which open the connections
+SLOTS = 64
+PATIENCE = 5.0  # seconds that a client waits
+LEAST_SERVED = 0.99
+CORE = 1e6  # microseconds of processor time a second: one core
+
+
+def _config(listen: str, discovery: Discovery) -> dict[str, Any]:
+    settings = {**sample.settings_object(), "balancers": 1, "me": 0, "areas": ["a"]}
+    settings["obligations"] = {**settings["obligations"], "ramp-time": 0, "cold-share": 1.0}
+    return {
+        "name": "n0",
+        "listen": listen,
+        "discovery": discovery.address,
+        "seed": "1",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": json.loads(discovery.whole()),
+        "settings": settings,
+    }
+
+
+@contextmanager
+def _program(folder: Path, listen: str, discovery: Discovery) -> Iterator[int]:
+    """The dispatcher, ready; its process id."""
+    path = folder / "config.json"
+    path.write_text(json.dumps(_config(listen, discovery)))
+    environ = {**os.environ, "PROXY_CONFIG": str(path), "PULLEYROUTE_LOG": "ERROR"}
+    process = subprocess.Popen([sys.executable, "-m", "pulleyroute"], cwd=ROOT, env=environ)
+    try:
+        _await_ready(listen)
+        yield process.pid
+    finally:
+        process.kill()
+        process.wait()
+
+
+def _await_ready(listen: str) -> None:
+    end = time.monotonic() + 30
+    while time.monotonic() < end:
+        try:
+            connection = http.client.HTTPConnection(listen, timeout=1)
+            connection.request("GET", "/-/ready")
+            if connection.getresponse().status == 200:
+                return
+        except (OSError, http.client.HTTPException):
+            pass
+        time.sleep(0.05)
+    raise ValueError("the dispatcher did not become ready")
+
+
+def _even(rate: float, seconds: float) -> Shape:
+    return Shape((Piece(rate, rate, seconds),))
+
+
+async def _load(listen: str, rate: int, pid: int) -> dict[str, float]:
+    target = Jobs(listen)
+    mix = Mix((("class-0", 1.0),))
+    await open_loop(target, _even(WARM_UP, 1.0), mix, 1, PATIENCE, even=True)
+    began, at = processor_time(pid), time.monotonic()
+    report = await open_loop(target, _even(rate, SECONDS), mix, 1, PATIENCE, even=True)
+    spent, lasted = processor_time(pid) - began, time.monotonic() - at
+    held = resident(pid)
+    await target.close()
+    served = sum(kind.endings[SERVED] for kind in report.kinds.values())
+    if served < LEAST_SERVED * report.due:
+        raise ValueError(f"{served} of {report.due} requests were served")
+    return {"time": spent / lasted * 1e6, "memory": float(held)}
+
+
+def measure(size: int) -> dict[str, float]:
+    """The costs at so many requests a second."""
+    listen, discovery = f"127.0.0.1:{free_port()}", Discovery()
+    with tempfile.TemporaryDirectory() as folder, stand_in("box", listen, SLOTS) as address:
+        discovery.put("box", address)
+        with _program(Path(folder), listen, discovery) as pid:
+            return asyncio.run(_load(listen, size, pid))
+
+
+SLOPE = Slope(
+    "request",
+    "requests a second",
+    (2, 6, 20, 66, 132, 200),
+    (2, 20, 66, 132, 200),
+    {
+        "time": Cost("Data path: the dispatcher's processor time a second", "us", CORE),
+        "memory": Cost("Data path: the dispatcher's resident memory", "bytes"),
+    },
+    measure,
+    1_000,
+)
--- a/benchmarks/capacity/slope.py
+++ b/benchmarks/capacity/slope.py
@@ -42,6 +42,7 @@
     quick_sizes: tuple[int, ...]
     costs: Mapping[str, Cost]
     measure: Callable[[int], Measured]
+    largest: int = 100_000  # that may be asked for
     note: str = ""
 
 
@@ -56,6 +57,8 @@
 
     def series(self, slope: Slope) -> list[Series]:
         """Measure a slope; raises SlopeError."""
+        if any(size > slope.largest for size in self.sizes):
+            raise SlopeError(f"{slope.name}: a size is over {slope.largest}, the largest that it is run at")
         sizes = self.sizes or (slope.quick_sizes if self.quick else slope.sizes)
         repeats = self.repeats or (QUICK_REPEATS if self.quick else REPEATS)
         points: dict[str, list[Point]] = {name: [] for name in slope.costs}
--- /dev/null
+++ b/benchmarks/capacity/store.py
@@ -0,0 +1,151 @@
+"""The common store's client by the number of members: a read of the whole, and a permit's transaction.
+
+The store's stand-in is a process of its own on loopback; each call has a connection of its own, as in
+service. Times are processor time of the client's process, and of the stand-in's.
+"""
+
+from __future__ import annotations
+
+import json
+import socket
+import subprocess
+import sys
+import time
+from base64 import b64encode
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from benchmarks.capacity.cost import processor_time
+from benchmarks.capacity.members import KEYS, member_name, member_records
+from benchmarks.capacity.slope import Cost, Slope
+from pulleyroute.fleet.store import LARGEST, Client, Item, Json, put, unchanged
+from pulleyroute.net.buffers import BufferPool
+from pulleyroute.net.http import parse_address
+from pulleyroute.net.loop import Coroutine, Loop
+
+CALLS = 20  # of each kind that a reading rests on
+PUTS = 50  # records of a transaction that fills the store
+PLACE = "127.0.0.1:0"
+
+
+@contextmanager
+def _stand_in() -> Iterator[tuple[int, tuple[str, int]]]:
+    """The store's stand-in: its process id and its address."""
+    command = [sys.executable, "-m", "pulleyroute.cli", "emulate", "store", PLACE]
+    process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+    try:
+        assert process.stdout is not None
+        yield process.pid, parse_address(process.stdout.readline().strip())
+    finally:
+        process.kill()
+        process.wait()
+
+
+def _fill(client: Client, size: int) -> Coroutine[None]:
+    pairs = [pair for number in range(size) for pair in member_records(number)]
+    for start in range(0, len(pairs), PUTS):
+        puts = [put(key, value) for key, value in pairs[start : start + PUTS]]
+        yield from client.call("/v3/kv/txn", {"success": puts})
+
+
+def _reading(client: Client) -> Coroutine[list[Item]]:
+    _, items = yield from client.range(KEYS.prefix, KEYS.end)
+    return items
+
+
+def _permit(client: Client, items: list[Item], number: int, until: int) -> Coroutine[None]:
+    """A permit as `agent.py` asks for it: the word of each member as it was read."""
+    words = [unchanged(item) for item in items if item.key.startswith(KEYS.of("word", ""))]
+    key = Item(KEYS.of("permit", member_name(number)))
+    other = yield from client.commit(key, b'{"incarnation":1}', until, guards=words)
+    if other is not None:
+        raise ValueError("the permit was not written")
+
+
+class _Meter:
+    """Processor time of both processes over a stretch, in microseconds a call."""
+
+    def __init__(self, store: int) -> None:
+        self._store = store
+        self.start()
+
+    def start(self) -> None:
+        self._client_began, self._store_began = time.process_time(), processor_time(self._store)
+
+    def read(self) -> tuple[float, float]:
+        client = time.process_time() - self._client_began
+        store = processor_time(self._store) - self._store_began
+        return client / CALLS * 1e6, store / CALLS * 1e6
+
+
+def _measuring(loop: Loop, client: Client, store: int, size: int, out: dict[str, float]) -> Coroutine[None]:
+    yield from _fill(client, size)
+    items = yield from _reading(client)
+    meter = _Meter(store)
+    for _ in range(CALLS):
+        items = yield from _reading(client)
+    out["read"], out["read_store"] = meter.read()
+    meter.start()
+    for number in range(CALLS):
+        yield from _permit(client, items, number, loop.now() + 10_000_000)
+    out["permit"], out["permit_store"] = meter.read()
+    loop.stop()
+
+
+def _call_bytes(address: tuple[str, int], path: str, body: Json) -> int:
+    """Of a call and its answer, heads and all, as `Client` writes it."""
+    data = json.dumps(body).encode()
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: {address[0]}:{address[1]}\r\nContent-Type: application/json\r\n"
+        f"Content-Length: {len(data)}\r\nConnection: close\r\n\r\n"
+    ).encode()
+    with socket.create_connection(address, 30) as connection:
+        connection.sendall(head + data)
+        answer = b"".join(iter(lambda: connection.recv(1 << 20), b""))
+    return len(head) + len(data) + len(answer)
+
+
+def _text(data: bytes) -> str:
+    return b64encode(data).decode()
+
+
+def measure(size: int) -> dict[str, float]:
+    """The costs in a fleet of so many members."""
+    failed: list[Exception] = []
+
+    def fail(name: str, exc: Exception) -> None:
+        failed.append(exc)
+        loop.stop()
+
+    loop = Loop(fail)
+    out: dict[str, float] = {}
+    with _stand_in() as (pid, address):
+        client = Client(loop, BufferPool(), [address], 1)
+        loop.spawn(_measuring(loop, client, pid, size, out), "measuring")
+        loop.run()
+        group = {"key": _text(KEYS.prefix), "range_end": _text(KEYS.end)}
+        out["read_bytes"] = float(_call_bytes(address, "/v3/kv/range", group))
+        out["keepalive_bytes"] = float(
+            _call_bytes(address, "/v3/lease/keepalive", {"ID": "1234567890123456789"})
+        )
+    if failed:
+        raise failed[0]
+    return out
+
+
+SLOPE = Slope(
+    "store",
+    "members",
+    (10, 30, 100, 300, 1_000, 3_000),
+    (10, 30, 100, 300, 1_000),
+    {
+        "read": Cost("Store's client: the whole group read", "us"),
+        "read_store": Cost("Store's stand-in: the whole group read", "us"),
+        "read_bytes": Cost("Store: the answer to a read of the whole group", "bytes", LARGEST),
+        "keepalive_bytes": Cost("Store: a lease extended, on the wire", "bytes"),
+        "permit": Cost("Store's client: a permit's transaction", "us"),
+        "permit_store": Cost("Store's stand-in: a permit's transaction", "us"),
+    },
+    measure,
+    10_000,
+)
--- /dev/null
+++ b/benchmarks/capacity/tables.py
@@ -0,0 +1,59 @@
+"""The table of fits, from the JSON files of a folder."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from benchmarks.capacity.fit import FitError, fit
+from benchmarks.capacity.series import Series, SeriesError, read
+
+TABLE = "fits.md"
+HEAD = "| series | size | unit | base | slope | residual | exponent | spread | prediction error | command |"
+
+
+def all_series(folder: Path) -> list[Series]:
+    """The series of all files of a folder; raises SeriesError where there is none."""
+    found = [series for path in sorted(folder.glob("*.json")) for series in read(path)]
+    if not found:
+        raise SeriesError(f"{folder}: no series; measure some first")
+    return found
+
+
+def fits(folder: Path) -> None:
+    """Write and print the table."""
+    lines = [HEAD, "|" + " --- |" * (HEAD.count("|") - 1)]
+    lines += [_row(series) for series in all_series(folder)]
+    print("\n".join(lines))
+    machines = sorted({series.machine for series in all_series(folder)})
+    text = [
+        "# Fits of the measured series",
+        "",
+        "Made by `python -m benchmarks.capacity fits`. `base + slope * size`, by least squares of relative",
+        "residuals; the exponent of a power law; the spread of repetitions; the error of the larger half of",
+        "the sizes, predicted from the smaller half. No fit stands where a series has too few sizes for one.",
+        "",
+        *(f"Run on: {machine}." for machine in machines),
+        "",
+        *lines,
+        "",
+    ]
+    (folder / TABLE).write_text("\n".join(text))
+
+
+def _row(series: Series) -> str:
+    sizes = f"{series.sizes[0]} to {series.sizes[-1]} {series.size_unit}" if series.points else "none"
+    try:
+        found = fit(series)
+    except FitError:
+        cells = ["-"] * 6
+    else:
+        error = found.prediction_error
+        cells = [
+            f"{found.line.base:.4g}",
+            f"{found.line.slope:.4g}",
+            f"{found.line.residual:.1%}",
+            f"{found.exponent:.2f}",
+            f"{found.spread:.1%}",
+            "-" if error is None else f"{error:.1%}",
+        ]
+    return "| " + " | ".join([f"`{series.name}`", sizes, series.unit, *cells, f"`{series.command}`"]) + " |"
